Share a thin quota by what all gateways spent, kept as one number on the counter

Cause: with a burst of two over 20 to 40 gateways every lease is sparse. Its number held what was asked, refused tries and their retries too (renew), so a customer's refusals kept it in debt and admission by lot (Customer.chance) let Poisson noise into a bucket of two. On a crowded counter refresh() added 1/room units for one, more than the whole burst.

Mend: mintford/bucket.py keeps the number as units spent, its level follows from time; a call spends and reads at once, a refusal gives back, idle credit beyond the burst is taken off by whoever sees it. While a level says that nothing can have come back, tries are refused without a call. A crowded counter is asked by the worth of the answer. Local leases, silence (even share) and the emptied counter stay as they were.

--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -13,12 +13,16 @@
 from typing import Any, NamedTuple
 
 from . import interface as api
+from .bucket import MEMORY_MS, SharedBucket
 
 LEASE_MS = 15_000.0  # the design's lease
 REFRESH_MS = 500.0  # between refreshes at least: shares follow a shift, calls stay under requests
+LEAST_UNIT = 0.01  # of a unit: less is rounding
 SPARSE = 1.5  # of the largest requests: an even part of the burst under this is too thin to spend locally
 WANTS_MS = 3_000.0  # memory of the wants
-FRESH_MS, SURGE = 100.0, 5.0  # a sparse reading stands until so many quotas at once could spend what is left
+SURGE = 5.0  # a shared reading stands until so many quotas asked at once could spend what is left
+ASTRAY = 0.5  # of the burst: a shared number that tells of more than a full or an empty bucket is put right
+LIKELY, DOUBTFUL, CHEAP = 0.2, 4.0, 6.0  # powers of a crowded counter's room: how calls give way by worth
 ROOM_STEP, ROOM_CUT, ROOM_LEAST = 0.005, 0.9, 0.1  # how refreshes thin out as calls fail, and come back
 END_MS = 50.0  # a request is ended this long before it expires; small beside any aim
 TYPICAL_OVER = 40.0  # answers that the typical latency is the mean of
@@ -48,12 +52,14 @@
         # part of the ceiling can never be spent twice.
         self.ceiling = (now - since) / 1000 * plan.ceiling_rate * self.even
         self.keep_ms = max(LEASE_MS, plan.ceiling_burst / max(plan.ceiling_rate, 1e-9) * 1000)
-        self.sparse = plan.burst * self.even < SPARSE * unit
+        sparse = plan.burst * self.even < SPARSE * unit and plan.rate > 0
+        self.bucket = SharedBucket.of(key, plan.rate, plan.burst) if sparse else None
         full_again = plan.burst / max(plan.rate, 1e-9) * 1000
         self.period_ms = min(LEASE_MS, max(REFRESH_MS, full_again))  # an empty burst is full again after it
-        self.part, self.chance = self.even, 1.0  # the lease: of quota and burst; of the requests, if sparse
-        self.lease_end, self.fresh_until, self.heard = now + LEASE_MS, now, False  # heard: of its size
+        self.part = self.even  # the lease: of quota and burst
+        self.lease_end, self.fresh_until = now + LEASE_MS, now
         self.unsaid, self.mine, self.all = 0.0, 0.0, 0.0  # units not yet added; lately added, here and by all
+        self.empty_until, self.tight, self.telling = now, False, False  # of a shared bucket, as last read
         self.period, self.reading, self.read_at = -1, 0.0, now  # the last reading
 
 
@@ -87,6 +93,8 @@
         self.live: set[int] = set()  # numbers of the attempts out
         self.tried: set[int] = set()
         self.ran: list[Attempt] = []  # attempts that may have run or are out, the earliest first
+        self.repeat, self.denied = event.repeat, False  # denied: refused without a look at the shared bucket
+        self.said = 0.0  # units of it that the counter was told already
 
 
 class Attempt(NamedTuple):  # of a request at a backend
@@ -95,6 +103,15 @@
     sent_at: float
 
 
+class Call(NamedTuple):  # of the counter
+    customer: str
+    period: int
+    amount: float
+    request: str  # that waits for the reply; "" if none does
+    last: bool  # whether it reads the period before, for what that left owed
+    expected: float  # the total, if nobody else put the number right meanwhile; 0: it puts nothing right
+
+
 class Gateway:
     def __init__(self, settings: api.Settings, seed: int) -> None:
         self.settings, self.random = settings, random.Random(seed)
@@ -102,7 +119,7 @@
         self.plans = {p.name: p for p in settings.plans}
         self.top_importance = max((c.importance for c in settings.classes), default=1.0)
         self.customers: dict[str, Customer] = {}
-        self.calls: dict[str, deque[tuple[str, int, float, str]]] = {}  # customer, period, added, request
+        self.calls: dict[str, deque[Call]] = {}  # by the counter's name, the oldest first
         self.backends: dict[int, Backend] = {}
         self.subset: list[Backend] = []  # the backends that this gateway uses
         self.requests: dict[str, Request] = {}
@@ -116,7 +133,7 @@
             api.RequestArrived: self.on_request, api.AttemptEnded: self.on_ended,
             api.TimerFired: self.on_timer, api.CounterReplied: self.on_counted,
             api.BackendsChanged: self.on_list,
-            api.RequestLapsed: lambda _, event, __: self.requests.pop(event.request, None),
+            api.RequestLapsed: self.on_lapsed,
         }  # peers' messages and begun answers change no decision
 
     def handle(self, now: float, event: api.Event) -> api.Actions:
@@ -133,88 +150,165 @@
 
     def fill(self, now: float, c: Customer) -> None:
         if now > c.lease_end:
-            c.part, c.heard = c.even, False  # a lease unheard: the safe capacity is the even share
+            c.part, c.tight = c.even, False  # a lease unheard: the safe capacity is the even share
         passed, c.filled_at = (now - c.filled_at) / 1000, now
         most = max(self.settings.most_units, c.plan.burst * c.part)
         c.tokens = min(most, c.tokens + passed * c.plan.rate * c.part)
         c.ceiling = min(c.plan.ceiling_burst * c.even, c.ceiling + passed * c.plan.ceiling_rate * c.even)
 
-    def refresh(self, now: float, request: Request, out: api.Actions) -> bool:
-        """Add the units asked since the last call, refused ones too, and so learn of all that were asked.
-
-        A sparse lease is refreshed by the request that needs it, which waits for the reply (true): a local
-        bucket would be empty, or full of units that a hundred other gateways hold too.
-        """
+    def refresh(self, now: float, request: Request, out: api.Actions) -> None:
+        """Add the units asked since the last call, refused ones too, and so learn of all that were asked."""
         c = request.customer
         c.unsaid += request.units
         if now < c.fresh_until or not self.settings.may_count or not c.plan.rate:
-            return False
+            return
         said, c.unsaid = c.unsaid / self.counter_room, 0.0
         if self.random.random() > self.counter_room:
-            return False  # crowded: those that do add, add for this one too, so that totals stay true
-        c.fresh_until = now + (FRESH_MS if c.sparse else REFRESH_MS)
-        self.count(c, int(now // c.period_ms), said, out, request.id if c.sparse else "")
-        if c.sparse:
-            self.watch(now, request, now + 2 * self.settings.count_wait, out)
-        return c.sparse
-
-    def count(self, c: Customer, period: int, amount: float, out: api.Actions, request: str) -> None:
-        name = f"{period}:" + hashlib.blake2b(c.key.encode(), digest_size=16).hexdigest()  # keys may be long
-        self.calls.setdefault(name, deque()).append((c.key, period, round(amount, 3), request))
-        out.append(api.Count(name, round(amount, 3), 4 * c.period_ms))
+            return  # crowded: those that do add, add for this one too, so that totals stay true
+        c.fresh_until, period = now + REFRESH_MS, int(now // c.period_ms)
+        self.count(c, period, said, out)
+
+    def ask(self, now: float, request: Request, bucket: SharedBucket, out: api.Actions) -> bool:
+        """Read the shared bucket for a request that needs it and waits for the reply (true).
+
+        Spread over so many gateways, a local bucket would be empty, or full of units that each of the others
+        holds too. The call spends the units at once, and a refusal gives them back: two gateways that ask
+        together don't both get the last unit. Where a refusal is likely, the call only reads.
+
+        Danger: a crowded counter has no room for all, and a customer far past its quota asks most. Where
+        being wrong costs nothing the lease decides unread; what is likely refused is refused unread, and the
+        bucket fills for the few that do ask. Little is left to ask for whom nobody knows anything against.
+        """
+        c = request.customer
+        if now < c.empty_until or (now < c.fresh_until and c.tokens >= request.units):
+            return False  # no other gateway can have filled it, or spent all of it, since it was read
+        doubtful, cheap = c.tight or request.repeat, c.plan.beyond_costs <= c.plan.beyond_earns
+        if not self.has_room(CHEAP if cheap else DOUBTFUL if doubtful else LIKELY):
+            request.denied = doubtful and not cheap
+            return False
+        request.said = 0.0 if doubtful else request.units
+        self.count(c, bucket.period(now), c.unsaid + request.said, out, request.id)
+        c.unsaid = 0.0
+        self.watch(now, request, now + 2 * self.settings.count_wait, out)
+        return True
+
+    def count(
+        self,
+        c: Customer,
+        period: int,
+        amount: float,
+        out: api.Actions,
+        request: str = "",
+        last: bool = False,
+        expected: float = 0.0,
+    ) -> None:
+        call = Call(c.key, period, round(amount, 3), request, last, expected)
+        if c.bucket:
+            name, memory = c.bucket.name(period), MEMORY_MS
+        else:
+            digest = hashlib.blake2b(c.key.encode(), digest_size=16).hexdigest()  # keys may be long
+            name, memory = f"{period}:{digest}", 4 * c.period_ms
+        self.calls.setdefault(name, deque()).append(call)
+        out.append(api.Count(name, call.amount, memory))
+
+    def has_room(self, eagerness: float) -> bool:
+        """Whether a crowded counter is to be called even so."""
+        return self.random.random() <= math.pow(self.counter_room, eagerness)
+
+    def tell(self, now: float, c: Customer, bucket: SharedBucket, out: api.Actions) -> None:
+        """Add what was spent without being said, or take off what was said and not spent."""
+        said, c.unsaid = c.unsaid, 0.0
+        if abs(said) >= LEAST_UNIT:
+            self.count(c, bucket.period(now), said, out)
+
+    def tell_later(self, c: Customer, out: api.Actions) -> None:
+        """Tell with the next call, or by a timer if none comes."""
+        if c.bucket and abs(c.unsaid) >= LEAST_UNIT and self.settings.may_count and not c.telling:
+            c.telling = True
+            out.append(api.SetTimer(REFRESH_MS, "c" + c.key))
 
     def on_counted(self, now: float, event: api.CounterReplied, out: api.Actions) -> None:
         waiting = self.calls.get(event.name)
         if not waiting:
             return
-        key, period, amount, held = waiting.popleft()
+        call = waiting.popleft()
         if not waiting:
             del self.calls[event.name]
         # Danger: a crowded counter fails everybody's calls, and their number keeps it crowded.
         ok, room = event.outcome is api.Outcome.OK, self.counter_room
         self.counter_room = min(1.0, room + ROOM_STEP) if ok else max(ROOM_LEAST, room * ROOM_CUT)
-        c, request = self.customers.get(key), self.requests.get(held)
-        if c and ok and self.renew(now, c, period, amount, event.reading, held, out):
-            return
-        if c and event.outcome in NEVER_RAN:
-            c.unsaid += amount
-        if request and not request.attempts:
-            self.admit(now, request, out)
+        c, request = self.customers.get(call.customer), self.requests.get(call.request)
+        if request and (request.attempts or not c):
+            request = None  # it waited long enough, and went
+        if c and not ok and event.outcome in NEVER_RAN:
+            c.unsaid += call.amount
+            if request:
+                c.unsaid -= request.said
+                request.said = 0.0
+        if c and c.bucket:
+            if ok and call.expected and (event.reading - call.expected) / call.amount > ASTRAY:
+                self.count(c, call.period, -call.amount, out)  # another gateway has put it right, too
+            elif ok and request:
+                self.read(now, request, c.bucket, call, event.reading, out)
+            elif request:
+                self.admit(now, request, out)
+        elif c and ok:
+            self.renew(now, c, call.period, call.amount, event.reading, out)
+
+    def read(
+        self, now: float, request: Request, bucket: SharedBucket, call: Call, total: float, out: api.Actions
+    ) -> None:
+        """Take the shared bucket's level for the lease, and admit the request that waited for it."""
+        c, units, period = request.customer, request.units, call.period + call.last
+        if call.last:
+            if (owed := bucket.owed(total)) > 0:
+                self.count(c, period, owed, out)
+            total = owed + request.said
+        elif total <= call.amount + LEAST_UNIT and self.random.random() <= self.counter_room:
+            return self.count(c, period - 1, 0.0, out, request.id, last=True)  # the first call of a period
+        same, before, c.period, c.reading = period == c.period, c.reading, period, total
+        c.lease_end = now + LEASE_MS
+        # Danger: a counter that lost its numbers looks as if nobody had spent anything; the old level stands.
+        if not same or total > before - max(bucket.burst, units):
+            told = bucket.level(now, period, total - request.said)
+            level = max(0.0, min(told, bucket.burst))
+            if abs(told - level) > ASTRAY * bucket.burst and self.random.random() <= self.counter_room:
+                self.count(c, period, told - level, out, expected=total + told - level)
+            c.tokens, c.part, c.tight = level, max(c.even, level / max(bucket.burst, 1e-9)), level < units
+            c.empty_until = now + bucket.wait(units - level)
+            c.fresh_until = now + bucket.wait(level - units) / SURGE
+        self.admit(now, request, out)
+        self.tell(now, c, bucket, out)
 
     def renew(
-        self, now: float, c: Customer, period: int, amount: float, total: float, held: str, out: api.Actions
-    ) -> bool:
-        """Size the lease. A period's number holds what was asked in it, and what the last period owed.
+        self, now: float, c: Customer, period: int, amount: float, total: float, out: api.Actions
+    ) -> None:
+        """Size a lease that is spent locally.
 
-        Who adds first reads the last number and carries over the burst that time has not paid back (true: the
-        lease waits for that). What exceeds the burst is told from the quota's rate: past that, quota over
-        wants is the part let in; a local bucket holds this gateway's share of what is left.
+        A period's number holds what was asked in it, and what the last period owed.
+        Who adds first reads the last number and carries over the burst that time has not paid back. A local
+        bucket holds this gateway's share of what is left.
         """
         rate, burst = c.plan.rate, c.plan.burst
         if amount and total <= amount + 0.01 and self.random.random() <= self.counter_room:
-            self.count(c, period - 1, 0.0, out, held)
-            return True
+            return self.count(c, period - 1, 0.0, out)
         if not amount:
             period, owed = period + 1, min(burst, total - rate * c.period_ms / 1000)
             if owed > 0:
-                self.count(c, period, owed, out, held)
-                return True
+                return self.count(c, period, owed, out)
             total = 0.0
         fade, c.lease_end = math.exp((c.read_at - now) / WANTS_MS), now + LEASE_MS
         before, same, c.period, c.reading, c.read_at = c.reading, period == c.period, period, total, now
         if same and total < before - 0.01:
             # Danger: the counter lost its numbers; it would look as if nobody had asked for anything.
-            return False
+            return
         if same:
             c.mine, c.all = c.mine * fade + amount, c.all * fade + max(amount, total - before)
         paid, over = max(0.0, rate * (now - period * c.period_ms) / 1000), total - burst  # 0: rounding
         load = min(1.0, c.all * 1000 / WANTS_MS / rate)
         c.part = 1 - (1 - min(1.0, c.mine / c.all)) * load if c.all else c.even
-        c.chance, c.heard = 1.0 if over <= paid else paid / over, True
         c.tokens = max(c.tokens, (paid - over) * c.part)
-        least = FRESH_MS if c.sparse else REFRESH_MS
-        c.fresh_until = now + max(least, (paid - over) / (SURGE * rate) * 1000)
-        return False
+        c.fresh_until = now + max(REFRESH_MS, (paid - over) / (SURGE * rate) * 1000)
 
     # ---- admission ----
 
@@ -230,15 +324,16 @@
             self.customers[event.customer] = c
         self.fill(now, c)
         request = self.requests[event.request] = Request(event, kind, c, now)
-        if not self.refresh(now, request, out):
-            self.admit(now, request, out)
+        if c.bucket is None:
+            self.refresh(now, request, out)
+        elif self.settings.may_count and self.ask(now, request, c.bucket, out):
+            return
+        self.admit(now, request, out)
 
     def admit(self, now: float, request: Request, out: api.Actions) -> None:
         """Send the request on if the lease, the guards and the backends let it, else refuse it."""
         c, kind, plan, units = request.customer, request.kind, request.customer.plan, request.units
-        short = units - c.tokens if plan.rate else 0.0
-        if c.sparse and c.heard:  # the grant as a fraction of all wants
-            short = 0.0 if self.random.random() < c.chance else units
+        short = units - (0.0 if request.denied else c.tokens) if plan.rate else 0.0
         crowded = bool(plan.open_limit) and c.out + 1 > max(1.0, plan.open_limit * c.part)
         strain = (expected := self.time_to_answer(now)) / max(kind.aim, 1.0)
         self.retries = min(RETRY_STORE, self.retries + (RETRY_CALM if strain < CALM else RETRY_SHARE))
@@ -252,10 +347,26 @@
         backend = None if beyond or too_late else self.pick(now, request)
         if backend is None:
             wait = short * 1000 / max(plan.rate * c.part, 1e-9) if short > 0 else kind.aim * PATIENCE
+            if c.bucket and short > 0:  # all that are refused now would come back for the same unit
+                wait = c.bucket.wait(short + units * self.random.random())
             return self.finish(request, out, wait)
+        if c.bucket:
+            spent = units if short <= 0 else 0.0
+            c.unsaid, request.said = c.unsaid + spent - request.said, spent
+            self.tell_later(c, out)
         c.tokens, c.ceiling = c.tokens - (units if 0 < units <= c.tokens else 0.0), c.ceiling - units
         self.send(now, request, backend, out)
 
+    def on_lapsed(self, now: float, event: api.RequestLapsed, out: api.Actions) -> None:
+        if request := self.requests.pop(event.request, None):
+            self.give_back(request, out)
+
+    def give_back(self, request: Request, out: api.Actions) -> None:
+        """Take back what was said of a request that ends without having been sent on."""
+        if request.said and not request.attempts:
+            request.customer.unsaid, request.said = request.customer.unsaid - request.said, 0.0
+            self.tell_later(request.customer, out)
+
     def time_to_answer(self, now: float) -> float:
         """What is out over the rate of answers: how long one more request should take (Little's law).
 
@@ -363,7 +474,12 @@
     def on_timer(self, now: float, event: api.TimerFired, out: api.Actions) -> None:
         if event.token == "follow":
             out.append(api.FollowList())
-        request = self.requests.get(event.token[1:])
+        if event.token[0] == "c" and (c := self.customers.get(event.token[1:])) and c.bucket:
+            c.telling = False
+            if c.unsaid < 0 or self.has_room(CHEAP if c.plan.beyond_costs <= c.plan.beyond_earns else 1.0):
+                self.tell(now, c, c.bucket, out)
+            return
+        request = self.requests.get(event.token[1:]) if event.token[0] == "r" else None
         if request is None or now < request.check_at - 1:
             return
         if now >= request.expires - END_MS - 1:
@@ -432,6 +548,7 @@
     def finish(self, request: Request, out: api.Actions, wait: float = 0.0) -> None:
         """The one final answer: a refusal only where a new try is known to do no harm, else a failure."""
         del self.requests[request.id]
+        self.give_back(request, out)
         keyed_by_all = request.kind.effect is api.Effect.KEYED and request.kind.group is api.Group.ALL
         harmless = not request.ran or request.kind.effect is api.Effect.SAFE or keyed_by_all
         refusal = api.Refuse(request.id, min(wait, self.settings.max_retry_after))
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,102 @@
+"""What many gateways do together, in virtual time."""
+
+from __future__ import annotations
+
+import random
+
+import pytest
+from fleet import Caller, Fleet, Store
+
+from mintford import interface as api
+from mintford.bucket import MEMORY_MS, PERIOD_MS, SharedBucket
+
+GATEWAYS = 40
+SMALL = api.Plan("small", rate=0.4, burst=2, beyond_costs=1.2)
+LARGE = api.Plan("large", rate=2, burst=4, beyond_costs=0.8)
+
+
+def customers(seed: int = 5, small: int = 90, large: int = 20) -> list[Caller]:
+    """Most use a part of their quota, some nearly all of it, and one in eight asks four times as much."""
+    chance, callers = random.Random(seed), []
+    for number in range(small + large):
+        plan = SMALL if number < small else LARGE
+        use = 4.0 if number % 8 == 0 else 0.95 if number % 8 < 3 else chance.uniform(0.15, 0.5)
+        first, spread = chance.randrange(GATEWAYS), chance.randint(20, GATEWAYS)
+        gateways = [(first + place) % GATEWAYS for place in range(spread)]
+        chance.shuffle(gateways)
+        callers.append(Caller(f"{plan.name}{number}", plan, use * plan.rate, gateways))
+    return callers
+
+
+def played(counter_per_s: float) -> tuple[float, float]:
+    """Units sent on inside the quotas and beyond them, as parts of what one gateway for all lets in."""
+    offered = 0
+
+    class Counting(Fleet):
+        def first_try(self, caller: Caller) -> None:
+            nonlocal offered
+            offered += ideal[caller.name].take(self.now)
+            super().first_try(caller)
+
+    callers = customers()
+    fleet = Counting(GATEWAYS, callers, counter_per_s=counter_per_s, retries=2, max_retry_after=1000.0)
+    ideal = {c.name: Store(c.plan, c.plan.burst, fleet.now) for c in callers}
+    seen = fleet.play(20)
+    inside, beyond = (sum(seen[kind, plan.name] for plan in (SMALL, LARGE)) for kind in ("inside", "beyond"))
+    return inside / offered, beyond / offered
+
+
+def test_a_quota_thinner_than_the_fleet_is_kept_by_what_all_gateways_spent() -> None:
+    """Danger: refused units count as spent, and a customer is refused most while its bucket is full."""
+    inside, beyond = played(counter_per_s=2_000)
+    assert inside > 0.95
+    assert beyond < 0.06
+
+
+def test_a_counter_too_slow_for_all_is_asked_where_the_answer_is_not_known() -> None:
+    """Danger: forty gateways that ask for every try crowd the counter, and then nobody is told anything."""
+    inside, beyond = played(counter_per_s=110)  # about one call for each first try
+    assert inside > 0.85
+    assert beyond < 0.33
+
+
+BUCKET = SharedBucket.of("customer", rate=2.0, burst=8.0)
+
+
+def test_a_number_tells_what_the_bucket_holds() -> None:
+    start = 7 * PERIOD_MS - BUCKET.offset
+    assert BUCKET.period(start) == 7 and BUCKET.period(start - 1) == 6
+    assert BUCKET.level(start, 7, 0.0) == 8.0
+    assert BUCKET.level(start + 1000, 7, 9.0) == pytest.approx(1.0)
+    assert BUCKET.wait(0.5) == 250.0 and BUCKET.wait(-1.0) == 0.0
+
+
+def test_the_next_period_owes_what_time_has_not_paid_and_never_more_than_the_burst() -> None:
+    paid = BUCKET.rate * PERIOD_MS / 1000
+    assert [BUCKET.owed(spent) for spent in (0.0, paid, paid + 3, paid + 50)] == [0.0, 0.0, 3.0, 8.0]
+    # The last number is still there, and the counter takes no longer life.
+    assert 2 * PERIOD_MS < MEMORY_MS <= 60_000.0
+
+
+def test_the_periods_of_many_customers_do_not_end_together() -> None:
+    offsets = [SharedBucket.of(f"c{i}", 1.0, 1.0).offset for i in range(300)]
+    ends = [int(offset // 1000) for offset in offsets]
+    assert max(ends.count(second) for second in ends) < 45  # 20 on average
+
+
+@pytest.mark.parametrize("also", [False, True])
+def test_idle_time_is_taken_off_the_number_once(also: bool) -> None:
+    """Danger: two gateways that put it right at once leave a calm customer in debt."""
+    caller = Caller("calm", LARGE, 0.2, list(range(30)))
+    fleet = Fleet(GATEWAYS, [caller], seed=3, max_retry_after=1000.0)
+    fleet.ask(caller, 1)
+    fleet.play(0.1)
+    fleet.now += 6_000  # six seconds fill no further a bucket that was full
+    fleet.ask(caller, 1)
+    if also:
+        fleet.ask(caller, 1)
+    fleet.play(0.1)
+    bucket = SharedBucket.of("calm", LARGE.rate, LARGE.burst)
+    period = bucket.period(fleet.now)
+    level = bucket.level(fleet.now, period, fleet.numbers[bucket.name(period)])
+    assert level == pytest.approx(fleet.stores["calm"].fill(fleet.now), abs=1.0)
