Take a handful of requests out for a queue only where latency bears it out

Cause: time_to_answer() divides what is out by the rate of answers. One gateway of forty has four or five out and six answers a second in a memory of 0.8 s: the ratio doubles by chance, the refusal lowers the rate, and that raises the ratio again. Ruled out: real queues (p50 unchanged while refusing), the counter.

Mend: up to ENOUGH_OUT out, the ratio counts only as far as the recent latency, which includes the ages of those still out, says the same. Above it nothing changes.

--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -36,6 +36,7 @@
 LONGEST, SHORTEST = 9.0, 2.0  # typical latencies: the most a sample counts for; a bad backend's patience
 SHED_AT, SHED_BAND, SHED_SPAN = 0.6, 0.5, 0.25  # of the aim: refusals begin; to all; earlier for low worth
 FLOOR_OUT, LEAST_OUT = 3.0, 2.0  # always allowed out: a backend over all gateways; too few to tell anything
+ENOUGH_OUT = 9.0  # that many out, and their rate, are known to a third: under it a count alone proves nothing
 RATE_MS = 800.0  # memory of the rate of answers: steady, yet quick to follow a shift
 CALM = 0.1  # of the aim: latency under which capacity counts as clearly spare
 NEVER_RAN = {api.Outcome.FULL, api.Outcome.CONNECT, api.Outcome.IGNORED}
@@ -373,6 +374,10 @@
         Danger: judged by the latency of answers, overload and its end are seen a whole queue too late. What
         is out is known at once. It covers floods, slow backends and lost capacity; it could refuse too much
         where traffic multiplies in a second. Where one gateway's few tell nothing, recent latency decides.
+
+        Danger: among a handful out chance alone doubles this ratio, refusals lower the rate and so raise it
+        again, and every gateway of a large fleet refuses though no backend is busy. A handful out must be
+        borne out by the latency, which those that are out and late count for as well.
         """
         answer, waiting = max(1.0, self.recent * math.exp((self.recent_at - now) / MARK_MS)), 1
         for attempt in self.attempts.values():
@@ -381,7 +386,8 @@
                 answer, waiting = answer * max(1.0, age / answer) ** RECENT, waiting + 1
         if self.floor < LEAST_OUT or waiting <= self.floor:
             return answer * max(1.0, waiting / LEAST_OUT) ** 2 if self.floor < LEAST_OUT else 0.0
-        return waiting * 1000 / max(self.rate * math.exp((self.answered_at - now) / RATE_MS), 1e-9)
+        queued = waiting * 1000 / max(self.rate * math.exp((self.answered_at - now) / RATE_MS), 1e-9)
+        return queued if waiting > ENOUGH_OUT else min(queued, answer)
 
     # ---- backend choice and health ----
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -60,6 +60,25 @@
     assert beyond < 0.33
 
 
+def test_a_handful_out_is_not_taken_for_a_queue() -> None:
+    """Danger: the ratio of five out to six answers a second jumps by chance, and every gateway refuses."""
+    free = api.Plan("free")
+    callers = [Caller(f"c{i}", free, 6.0, [i]) for i in range(GATEWAYS)]
+    fleet = Fleet(GATEWAYS, callers, may_count=False, answer_ms=lambda chance, _: chance.expovariate(1 / 400))
+    seen = fleet.play(30)
+    assert seen["asked", "free"] > 6_000
+    assert seen["refused with room", "free"] < 0.02 * seen["asked", "free"]
+
+
+def test_a_handful_out_at_slow_backends_is_still_shed() -> None:
+    """Danger: no gateway of a large fleet sees a queue, and all of them wait in it."""
+    free = api.Plan("free")
+    callers = [Caller(f"c{i}", free, 6.0, [i]) for i in range(GATEWAYS)]
+    fleet = Fleet(GATEWAYS, callers, may_count=False, answer_ms=lambda *_: 1_500.0)
+    seen = fleet.play(30)
+    assert seen["refused with room", "free"] > 0.3 * seen["asked", "free"]
+
+
 BUCKET = SharedBucket.of("customer", rate=2.0, burst=8.0)
 
 
