Back off from a busy discovery by the size of the fleet

Cause: where discovery has to be asked it is one narrow service. All gateways ask at their start, and BACKOFF_S let each come again after a second at the latest: 40 calls a second keep the line so long that every call in it is over before its turn. Ruled out: slow pushes (the five with a watch got every change), the agent's silence time-out (no watch ended by it).

Turned away as busy, a gateway waits from 50 ms for each gateway of the fleet on, doubled each time up to the askEvery of the settings and spread by chance; first asks of a list that is known are spread likewise. Broken connections and agents that push are retried as before.

--- a/roadpulley/__main__.py
+++ b/roadpulley/__main__.py
@@ -6,6 +6,7 @@
 import gc
 import logging
 import os
+import random
 import signal
 import sys
 from collections.abc import Callable
@@ -16,6 +17,7 @@
 from mintford.interface import ListScope, Settings
 
 from .backends import Backends
+from .backoff import Backoff
 from .clients import ClientServer, Terms
 from .clock import Timers
 from .config import Config, ConfigError, load_config
@@ -106,7 +108,9 @@
         known = read_list(config.known)
         version = known.version
         driver.members(ListScope.SAVED, known.members)
-    discovery = Discovery(config.discovery, version, driver.members)
+    busy = Backoff(config.settings.gateways, config.ask_every / 1000, random.Random(config.seed))
+    asked = config.settings.must_ask_for_list
+    discovery = Discovery(config.discovery, version, driver.members, busy, asked)
     watch = loop.create_task(discovery.run())
     server = ClientServer(
         loop,
--- a/roadpulley/config.py
+++ b/roadpulley/config.py
@@ -30,6 +30,7 @@
     connect_timeout: float  # milliseconds, as all times here
     keepalive: float
     max_open: int
+    ask_every: float  # how old a list that must be asked for may grow
     known: dict[str, Any]  # the list of backends as this gateway last had it, in discovery's form
 
 
@@ -55,6 +56,7 @@
             settings=read_settings(settings),
             connect_timeout=float(caps.get("connectTimeout") or 250),
             keepalive=float(caps.get("keepalive") or 15_000),
+            ask_every=float((settings.get("rules") or {}).get("askEvery") or 10_000),
             max_open=int(caps.get("maxOpen") or 10_000),
             known=raw.get("known") or {},
         )
--- a/roadpulley/discovery.py
+++ b/roadpulley/discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import hashlib
 import json
 import logging
@@ -14,6 +15,7 @@
 
 from mintford.interface import BackendEntry, BackendState, ListScope
 
+from .backoff import Backoff
 from .config import Address, parse_address
 
 log = logging.getLogger(__name__)
@@ -21,7 +23,8 @@
 PATH = "/catalog/members"
 SILENT_S = 4.5  # an empty line comes every 2 s
 CONNECT_S = 1.0
-BACKOFF_S = (0.1, 1.0)  # the first wait before a new watch, and the longest
+BACKOFF_S = (0.1, 1.0)  # the first wait before a new watch where the last one broke, and the longest
+BUSY = (429, 503)  # turned away for what others ask
 LONGEST_LINE = 16 * 1024 * 1024
 STATES = {"up": BackendState.READY, "draining": BackendState.DRAINING, "removed": BackendState.GONE}
 
@@ -30,6 +33,10 @@
     """Discovery said what it should not."""
 
 
+class DiscoveryBusy(DiscoveryError):
+    """Discovery has too much to do; asking again soon is what keeps it so."""
+
+
 @dataclass(frozen=True, slots=True)
 class Member:
     entry: BackendEntry
@@ -71,11 +78,18 @@
 
 
 class Discovery:
-    """Follows the list from a version on and reports each change."""
+    """Follows the list from a version on and reports each change.
+
+    `busy` says when to ask again where discovery has no room; `asked` whether each watch is a call that it
+    has to serve (the first ones of a fleet are then spread), or an agent beside the gateway pushes the list.
+    """
 
-    def __init__(self, address: Address, version: int | None, listener: Listener) -> None:
+    def __init__(
+        self, address: Address, version: int | None, listener: Listener, busy: Backoff, asked: bool = False
+    ) -> None:
         self.address, self.version, self.listener = address, version, listener
-        self._heard = False  # anything on the last watch
+        self.busy, self.asked = busy, asked
+        self._heard = self._refused = False  # anything on the last watch; turned away as busy
         self._moved = asyncio.Event()
 
     def move(self, address: Address) -> None:
@@ -88,9 +102,13 @@
 
     async def run(self) -> None:
         wait = BACKOFF_S[0]
+        if self.asked and self.version is not None:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(self.busy.start()):
+                    await self._moved.wait()
         while True:
             self._moved.clear()
-            self._heard = False
+            self._heard = self._refused = False
             watch = asyncio.ensure_future(self._watch())
             moved = asyncio.ensure_future(self._moved.wait())
             try:
@@ -99,7 +117,12 @@
                     log.info("watch moves to %s:%d", *self.address)
                     wait = BACKOFF_S[0]
                     continue
-                wait = BACKOFF_S[0] if self._heard else min(BACKOFF_S[1], wait * 2)
+                if self._heard:
+                    self.busy.served()
+                if self._refused:
+                    wait = self.busy.next()
+                else:
+                    wait = BACKOFF_S[0] if self._heard else min(BACKOFF_S[1], wait * 2)
                 log.info("watch %s; again in %.1f s", watch.result(), wait)
                 await asyncio.wait({moved}, timeout=wait)
             finally:
@@ -115,6 +138,7 @@
                     self._take(line)
             return "ended"
         except (OSError, h11.ProtocolError, DiscoveryError) as error:  # time-outs are among these
+            self._refused = isinstance(error, DiscoveryBusy)
             return " ".join(str(error).split()) or type(error).__name__
         except Exception:
             # Without a watch the list goes stale and drains are missed, so it goes on whatever came.
@@ -157,6 +181,8 @@
                     async with asyncio.timeout(SILENT_S):
                         http.receive_data(await reader.read(65536))
                 elif isinstance(event, h11.Response):
+                    if event.status_code in BUSY:
+                        raise DiscoveryBusy(f"status {event.status_code}")
                     if event.status_code != 200:
                         raise DiscoveryError(f"status {event.status_code}")
                 elif isinstance(event, h11.Data):
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 from typing import Any
 
 import pytest
@@ -10,6 +11,7 @@
 
 from mintford.interface import BackendState, ListScope
 from roadpulley import discovery as module
+from roadpulley.backoff import Backoff
 from roadpulley.discovery import DiscoveryError, Member, host_number, read_list
 
 Heard = list[tuple[ListScope, list[tuple[int, BackendState]]]]
@@ -27,7 +29,8 @@
     async def __aenter__(self) -> Watch:
         await self.service.start()
         address = (LOCAL, self.service.port)
-        self.client = module.Discovery(address, self.version, self.take)
+        busy = Backoff(2, 10.0, random.Random(1))
+        self.client = module.Discovery(address, self.version, self.take, busy)
         self.task = asyncio.create_task(self.client.run())
         return self
 
@@ -195,3 +198,30 @@
             await watch.watched(2)
 
     in_loop(scenario)
+
+
+def test_a_discovery_too_busy_is_left_alone_as_long_as_the_backoff_says() -> None:
+    """Danger: a fleet that asks again each second keeps discovery too busy to serve any of it."""
+
+    async def scenario() -> None:
+        class Busy(Discovery):
+            async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                await reader.readuntil(b"\r\n\r\n")
+                self.requests.append("turned away")
+                writer.write(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+
+        class Told(Backoff):
+            def next(self) -> float:
+                told.append(super().next())
+                return 0.0 if len(told) < 3 else 3600.0
+
+        told: list[float] = []
+        watch = Watch()
+        watch.service = Busy()
+        async with watch:
+            watch.client.busy = Told(40, 10.0, random.Random(1))
+            await until(lambda: len(told) == 3)
+            assert watch.service.requests == ["turned away"] * 3
+            assert told[2] > told[0] >= 1.0, "as many gateways ask, and each doubles its wait"
+
+    in_loop(scenario)
