Give each gateway of a large fleet its own slice of the backends

Cause: choose_subset() asked for 24 gateways to cover each backend and for twice that many backends before it cut anything, so forty gateways and sixty backends fell through: all used all. Ruled out: broken connections (none written to after an idle close), freshness limits.

Mend: eight gateways cover a backend, slices begin at twice a slice's size, and their number is a power of two, so that a backend that comes or goes moves few others.

Small fleets keep all backends.

--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -30,7 +30,7 @@
 MARK_MS, MARK_MEETINGS = 4_000.0, 5.0  # a mark fades to a third in this time or in so many usual gaps
 ERROR_COST = 8.0  # how much failing always raises a backend's cost: clearly behind any healthy peer
 CHANCE = 0.25  # how far chance spreads the choice: half the cost is chosen sixteen times as often
-SUBSET, COVER = 8, 24  # backends that a gateway of a large fleet uses; gateways that each backend needs
+SUBSET, COVER = 8, 8  # backends that a gateway of a large fleet uses; gateways that each backend needs
 RETRY_SHARE, RETRY_CALM, RETRY_STORE = 0.15, 0.6, 10.0  # extra attempts earned a request; when calm; the most
 PATIENCE = 0.4  # of the aim: how long to wait before anything is known
 LONGEST, SHORTEST = 9.0, 2.0  # typical latencies: the most a sample counts for; a bad backend's patience
@@ -408,15 +408,17 @@
         self.subset = self.choose_subset([b for b in self.backends.values() if b.ready])
 
     def choose_subset(self, ready: list[Backend]) -> list[Backend]:
-        """Few enough backends to meet each often and judge it; all of them in a small fleet.
+        """Few enough backends to meet each often, judge it and keep a connection to it; all in a small fleet.
 
-        Each gateway of a round takes its own slice of one shuffled order: all backends are covered evenly.
+        The gateways of a round divide one shuffled order of the backends among them, each round another one:
+        all are covered evenly, and one that comes or goes moves the slices by no more than one place.
         """
-        size = max(SUBSET, math.ceil(COVER * len(ready) / max(1, self.settings.gateways)))
-        turn, place = divmod(self.settings.index, max(1, len(ready) // size))
-        if len(ready) >= 2 * size:
+        size = max(SUBSET, COVER * len(ready) / max(1, self.settings.gateways))
+        places: int = 2 ** max(0, math.floor(math.log2(max(1.0, len(ready) / size))))  # seldom another number
+        turn, place = divmod(self.settings.index, places)
+        if places > 1:
             ready.sort(key=lambda b: hashlib.blake2b(f"{turn}:{b.id}".encode(), digest_size=8).digest())
-        return ready[place * size : (place + 1) * size] if len(ready) >= 2 * size else ready
+        return ready[len(ready) * place // places : len(ready) * (place + 1) // places]
 
     def mark(self, now: float, b: Backend, name: str) -> float:
         """A mark as far as it has not faded; a backend that is met seldom is remembered longer."""
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -221,6 +221,20 @@
     assert min(met.values()) >= 0.6 * 300 * 8 / 70 and max(met.values()) <= 1.4 * 300 * 8 / 70
 
 
+def test_forty_gateways_meet_few_backends_each_and_keep_them_when_others_change() -> None:
+    """Danger: sixty backends met once in ten seconds are never judged, and each request pays a handshake."""
+    fleet = [entry(i) for i in range(60)]
+    worlds = [World(fleet, **{**OPEN, "gateways": 40, "index": index}) for index in range(40)]
+    before = [{b.id for b in w.gateway.subset} for w in worlds]
+    met = [sum(i in used for used in before) for i in range(60)]
+    assert all(len(used) <= 20 for used in before)
+    assert min(met) >= 8 and max(met) <= 12
+    for w in worlds:
+        w.give(backends(entry(60), entry(61), entry(62), scope=api.ListScope.CHANGES))
+    kept = [len({b.id for b in w.gateway.subset} & used) for w, used in zip(worlds, before, strict=True)]
+    assert sum(kept) >= 0.8 * sum(map(len, before))
+
+
 def test_a_gateway_with_few_requests_sheds_by_recent_latency() -> None:
     """Danger: three requests out at each of hundreds of gateways fill the servers for longer than the aim."""
     w = world(gateways=300)
