--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -283,7 +283,7 @@
     """Danger: a call that can't gain anything crowds the counter, and without it a customer is refused."""
     world, sent, asked = World(), 0, 0
     for _ in range(20):
-        world.ask(plan="none", customer="other")  # out, so that capacity is not spare, and yet no cause to refuse
+        world.ask(plan="none", customer="other")  # out: capacity is not spare, nor short
     world.gateway.rate, world.gateway.answered_at = 100.0, world.now
     for _ in range(20):
         actions = crowded(world).ask(plan="bonus", spread=100)
