Keep the list of backends and a gateway's slice of it up to date by what changed

Seen: one changed entry costs `Gateway.on_list` 52 ms in a list of 39,000, 13 ms in 10,000, 2 ms in 2,000 and 0.19 ms in 200 (module alone, processor time, mean of 60 changes); `choose_subset` gathers, hashes and sorts all that are ready each time, and keeps a `Backend` for each that is listed.

Change: mintford/membership.py holds the list as plain records, the order as a sorted list (sortedcontainers, pure Python) in which each backend is hashed once, and moves the slice at its edges. A whole list may come in parts; what drains in one is in force at once, what is new with the last. More than 512 places are worked out in steps of 128, each after the others that wait had a turn: a timer without delay now fires in the next turn of the event loop, not in the same one (`Timers._run`). A `Backend` is kept for those in use only. For a long list, what none of the slice may serve goes to one of its cell, or to one of 512 drawn.

--- a/mintford/interface.py
+++ b/mintford/interface.py
@@ -8,6 +8,7 @@
 import math
 from dataclasses import dataclass
 from enum import Enum
+from typing import NamedTuple
 
 
 class Effect(Enum):
@@ -105,8 +106,7 @@
     most_units: float = 1.0
 
 
-@dataclass(frozen=True, slots=True)
-class BackendEntry:
+class BackendEntry(NamedTuple):
     backend: int
     zone: str
     cell: int
@@ -116,8 +116,12 @@
 
 @dataclass(frozen=True, slots=True)
 class BackendsChanged:
+    """Entries of the list; a whole list may come in parts, and is in force with the last of them."""
+
     scope: ListScope
     entries: tuple[BackendEntry, ...]
+    first: bool = True
+    last: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -221,6 +225,8 @@
 
 @dataclass(frozen=True, slots=True)
 class SetTimer:
+    """A timer without delay fires once what waits beside it has had its turn."""
+
     delay: float
     token: str
 
--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -14,6 +14,7 @@
 
 from . import interface as api
 from .bucket import MEMORY_MS, SharedBucket
+from .membership import Membership
 
 LEASE_MS = 15_000.0  # the design's lease
 REFRESH_MS = 500.0  # between refreshes at least: shares follow a shift, calls stay under requests
@@ -32,7 +33,7 @@
 MARK_MS, MARK_MEETINGS = 4_000.0, 5.0  # a mark fades to a third in this time or in so many usual gaps
 ERROR_COST = 8.0  # how much failing always raises a backend's cost: clearly behind any healthy peer
 CHANCE = 0.25  # how far chance spreads the choice: half the cost is chosen sixteen times as often
-SUBSET, COVER = 8, 8  # backends that a gateway of a large fleet uses; gateways that each backend needs
+KEPT = 512  # backends beyond the slice that what was seen of them is kept for
 RETRY_SHARE, RETRY_CALM, RETRY_STORE = 0.15, 0.6, 10.0  # extra attempts earned a request; when calm; the most
 PATIENCE = 0.4  # of the aim: how long to wait before anything is known
 LONGEST, SHORTEST = 9.0, 2.0  # typical latencies: the most a sample counts for; a bad backend's patience
@@ -78,7 +79,6 @@
         if entry.started != self.started:  # a new process: what was seen of the old one says nothing
             self.marks: dict[str, tuple[float, float]] = {}  # level and when it was set
         self.zone, self.cell, self.started = entry.zone, entry.cell, entry.started
-        self.ready = entry.state is api.BackendState.READY
 
     def warmth(self, now: float) -> float:
         """The least part of its capacity that it surely has."""
@@ -124,8 +124,10 @@
         self.top_importance = max((c.importance for c in settings.classes), default=1.0)
         self.customers: dict[str, Customer] = {}
         self.calls: dict[str, deque[Call]] = {}  # by the counter's name, the oldest first
-        self.backends: dict[int, Backend] = {}
-        self.subset: list[Backend] = []  # the backends that this gateway uses
+        self.backends: dict[int, Backend] = {}  # those of the slice, and others that were sent to
+        in_cells = any(c.effect is api.Effect.KEYED and c.group is api.Group.CELL for c in settings.classes)
+        self.members = Membership(settings.index, settings.gateways, self.use, in_cells)
+        self.ordering = False  # a timer will go on with the order of the members
         self.requests: dict[str, Request] = {}
         self.attempts: dict[tuple[str, int], Attempt] = {}  # out, the oldest first
         self.created = -1.0  # the time of the first event
@@ -414,31 +416,36 @@
     def on_list(self, now: float, event: api.BackendsChanged, out: api.Actions) -> None:
         if event.scope is api.ListScope.FAILED:  # the old list stays
             return out.append(api.SetTimer(self.settings.rules.drain_grace, "follow"))
-        if event.scope is not api.ListScope.CHANGES:
-            listed = {e.backend for e in event.entries}
-            self.backends = {i: b for i, b in self.backends.items() if i in listed}
+        self.members.take(event)
         for entry in event.entries:
             if entry.state is api.BackendState.GONE:
                 self.backends.pop(entry.backend, None)
-            elif entry.backend in self.backends:
-                self.backends[entry.backend].update(entry)
-            else:
-                self.backends[entry.backend] = Backend(entry, self.settings.rules)
-        self.floor = FLOOR_OUT * len(self.backends) / max(1, self.settings.gateways)
-        self.subset = self.choose_subset([b for b in self.backends.values() if b.ready])
-
-    def choose_subset(self, ready: list[Backend]) -> list[Backend]:
-        """Few enough backends to meet each often, judge it and keep a connection to it; all in a small fleet.
-
-        The gateways of a round divide one shuffled order of the backends among them, each round another one:
-        all are covered evenly, and one that comes or goes moves the slices by no more than one place.
-        """
-        size = max(SUBSET, COVER * len(ready) / max(1, self.settings.gateways))
-        places: int = 2 ** max(0, math.floor(math.log2(max(1.0, len(ready) / size))))  # seldom another number
-        turn, place = divmod(self.settings.index, places)
-        if places > 1:
-            ready.sort(key=lambda b: hashlib.blake2b(f"{turn}:{b.id}".encode(), digest_size=8).digest())
-        return ready[len(ready) * place // places : len(ready) * (place + 1) // places]
+            elif b := self.backends.get(entry.backend):
+                b.update(entry)
+        if event.scope is not api.ListScope.CHANGES and event.last:
+            self.backends = {i: b for i, b in self.backends.items() if i in self.members}
+        self.floor = FLOOR_OUT * len(self.members) / max(1, self.settings.gateways)
+        self.order_on(out)
+
+    def order_on(self, out: api.Actions) -> None:
+        """Let what waits have its turn before the next step of a long list's order."""
+        if self.members.building is not None and not self.ordering:
+            self.ordering = True
+            out.append(api.SetTimer(0.0, "order"))
+
+    @property
+    def subset(self) -> list[Backend]:
+        """The backends that this gateway uses."""
+        return self.members.subset
+
+    def use(self, entry: api.BackendEntry) -> Backend:
+        b = self.backends.get(entry.backend)
+        if b is None:
+            if len(self.backends) > len(self.subset) + KEPT:
+                kept = set(self.members.slice)
+                self.backends = {i: b for i, b in self.backends.items() if b.out or i in kept}
+            b = self.backends[entry.backend] = Backend(entry, self.settings.rules)
+        return b
 
     def mark(self, now: float, b: Backend, name: str) -> float:
         """A mark as far as it has not faded; a backend that is met seldom is remembered longer."""
@@ -466,7 +473,7 @@
         all gateways stays under that part of a warm one's load; twice, as one long request is much of it.
         """
         may = [b for b in self.subset if self.may_go(now, request, b)]
-        may = may or [b for b in self.backends.values() if b.ready and self.may_go(now, request, b)]
+        may = may or self.others(now, request)
         warm = [b for b in may if b.warmth(now) >= 1]
         if len(warm) < len(may):
             b = self.random.choice(may)
@@ -476,9 +483,21 @@
         costs = [self.cost(now, b, request) * self.random.expovariate(1.0) ** CHANCE for b in warm]
         return warm[costs.index(min(costs))] if warm else None
 
+    def others(self, now: float, request: Request) -> list[Backend]:
+        """Backends beyond the slice, for what none of the slice may serve."""
+        kind, cell = request.kind, None
+        if request.ran and kind.effect is api.Effect.KEYED and kind.group is api.Group.CELL:
+            cell = request.ran[0].backend.zone, request.ran[0].backend.cell
+        elif request.ran and kind.effect is api.Effect.UNSAFE:
+            return []
+        found = self.members.others(self.random, cell)
+        others = [self.backends.get(e.backend) or Backend(e, self.settings.rules) for e in found]
+        return [b for b in others if self.may_go(now, request, b)]
+
     # ---- attempts and retries ----
 
     def send(self, now: float, request: Request, b: Backend, out: api.Actions) -> None:
+        self.backends.setdefault(b.id, b)
         b.out += 1
         request.customer.out += 1
         latest = self.repeat_until(request)
@@ -503,6 +522,11 @@
     def on_timer(self, now: float, event: api.TimerFired, out: api.Actions) -> None:
         if event.token == "follow":
             out.append(api.FollowList())
+        if event.token == "order":
+            self.ordering = False
+            self.members.step()
+            self.order_on(out)
+            return
         if event.token[0] == "c" and (c := self.customers.get(event.token[1:])) and c.bucket:
             c.telling = False
             if c.plan.beyond_costs > c.plan.beyond_earns or self.has_room(CHEAP):
--- a/roadpulley/clock.py
+++ b/roadpulley/clock.py
@@ -61,8 +61,8 @@
         try:
             # The event loop rounds to whole milliseconds and may call early; the module ignores a timer
             # that comes before its time, and a request would then never be ended.
-            now = now_ms()
-            while heap and (heap[0][2].callback is None or heap[0][0] <= now):
+            now, later = now_ms(), next(self._serial)  # those made meanwhile let the event loop turn first
+            while heap and (heap[0][2].callback is None or (heap[0][0] <= now and heap[0][1] < later)):
                 if callback := heapq.heappop(heap)[2].callback:
                     callback()
                     now = now_ms()
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,305 @@
+"""The list of backends and the slice that a gateway uses: as worked out plainly, and at a bounded cost."""
+
+from __future__ import annotations
+
+import hashlib
+import math
+import random
+from collections import Counter as Tally
+from collections.abc import Iterator
+
+import pytest
+from helpers import KEYED, RULES, SAFE, World, entry, sends, settings
+
+from mintford import interface as api
+from mintford.membership import AT_ONCE, COVER, STEP, SUBSET, Membership, Order
+from mintford.rules import KEPT, Gateway
+
+READY, DRAINING, GONE = api.BackendState.READY, api.BackendState.DRAINING, api.BackendState.GONE
+
+
+class Plain:
+    """The old way, as a reference: everything is sorted and hashed at every change."""
+
+    def __init__(self, index: int, gateways: int) -> None:
+        self.index, self.gateways = index, gateways
+        self.listed: dict[int, api.BackendEntry] = {}
+
+    def take(self, scope: api.ListScope, entries: list[api.BackendEntry]) -> None:
+        if scope is not api.ListScope.CHANGES:
+            named = {e.backend for e in entries}
+            self.listed = {i: e for i, e in self.listed.items() if i in named}
+        for e in entries:
+            if e.state is GONE:
+                self.listed.pop(e.backend, None)
+            else:
+                self.listed[e.backend] = e
+
+    def slice(self) -> list[int]:
+        ready = [e.backend for e in self.listed.values() if e.state is READY]
+        size = max(SUBSET, COVER * len(ready) / max(1, self.gateways))
+        places = 2 ** max(0, math.floor(math.log2(max(1.0, len(ready) / size))))
+        turn, place = divmod(self.index, places)
+        if places > 1:
+            ready.sort(key=lambda b: hashlib.blake2b(f"{turn}:{b}".encode(), digest_size=8).digest())
+        return ready[len(ready) * place // places : len(ready) * (place + 1) // places]
+
+
+def members(index: int = 0, gateways: int = 1, by_cell: bool = False) -> Membership[int]:
+    return Membership(index, gateways, lambda e: e.backend, by_cell)
+
+
+def tell(m: Membership[int], scope: api.ListScope, entries: list[api.BackendEntry], parts: int = 1) -> None:
+    size = max(1, math.ceil(len(entries) / parts))
+    cuts = range(0, max(1, len(entries)), size)
+    for at in cuts:
+        first, last = at == 0, at == cuts[-1]
+        m.take(api.BackendsChanged(scope, tuple(entries[at : at + size]), first, last))
+
+
+def whole(m: Membership[int]) -> None:
+    while m.building is not None:
+        m.step()
+
+
+def some(ids: range, cells: int = 5) -> list[api.BackendEntry]:
+    return [entry(i, cell=i % cells) for i in ids]
+
+
+def history(chance: random.Random, most: int) -> Iterator[tuple[api.ListScope, list[api.BackendEntry], int]]:
+    """Changes, restarts, drains, removals, bursts and whole lists, some of them in parts."""
+    listed: dict[int, api.BackendEntry] = {}
+    for _ in range(60):
+        kind = chance.random()
+        if kind < 0.2 or not listed:
+            kept = [e for e in listed.values() if chance.random() < chance.choice((0.1, 0.9, 1.0))]
+            new = [entry(chance.randrange(10**6), cell=chance.randrange(9)) for _ in range(most // 8)]
+            told = [*kept, *new]
+            chance.shuffle(told)
+            told = list({e.backend: e for e in told}.values())
+            listed = {}
+            scope, parts = chance.choice((api.ListScope.FULL, api.ListScope.SAVED)), chance.randint(1, 9)
+        else:
+            told, scope, parts = [], api.ListScope.CHANGES, 1
+            for _ in range(chance.choice((1, 1, 2, most // 3))):
+                old = chance.choice(list(listed.values()))
+                state = chance.choice((READY, DRAINING, GONE, READY))
+                fresh = entry(chance.randrange(10**6), cell=chance.randrange(9))
+                moved = api.BackendEntry(old.backend, old.zone, old.cell, chance.random() * 1e6, state)
+                told.append(fresh if len(listed) < most and chance.random() < 0.5 else moved)
+        for e in told:
+            listed[e.backend] = e
+            if e.state is GONE:
+                del listed[e.backend]
+        yield scope, told, parts
+
+
+@pytest.mark.parametrize(
+    ("gateways", "most"), [(1, 60), (7, 60), (40, 60), (200, 200), (30, 700), (200, 3_000), (3_700, 2_500)]
+)
+def test_the_slice_is_the_same_as_worked_out_plainly(gateways: int, most: int) -> None:
+    for seed in range(6):
+        chance = random.Random(seed)
+        index = chance.randrange(gateways)
+        kept, plain = members(index, gateways, by_cell=seed % 2 == 0), Plain(index, gateways)
+        for scope, told, parts in history(chance, most):
+            plain.take(scope, told)
+            tell(kept, scope, told, parts)
+            if most <= 200:
+                assert kept.building is None, "what today's days have is taken at once"
+            if chance.random() < 0.7:
+                whole(kept)
+            if kept.building is None:
+                assert kept.subset == kept.slice == plain.slice()
+            assert set(kept.slice) <= {i for i, e in plain.listed.items() if e.state is READY}
+            assert kept.listed.keys() == plain.listed.keys()
+        whole(kept)
+        assert kept.subset == plain.slice()
+        of_cells = {i for cell in kept.order.cells.values() for i in cell}
+        assert of_cells == (set(kept.order.keys) if seed % 2 == 0 else set())
+
+
+class Key(bytes):
+    """A place in the order that counts how often it is compared."""
+
+    compared = 0
+
+    def __lt__(self, other: bytes) -> bool:
+        Key.compared += 1
+        return bytes.__lt__(self, other)
+
+    def __gt__(self, other: bytes) -> bool:
+        Key.compared += 1
+        return bytes.__gt__(self, other)
+
+
+@pytest.fixture
+def work(monkeypatch: pytest.MonkeyPatch) -> Tally[str]:
+    """Counts hashes, comparisons of places and backends that are taken up for use."""
+    seen: Tally[str] = Tally()
+    key = Order.key
+
+    def counted(order: Order, backend: int, serial: int) -> bytes:
+        seen["hashed"] += 1
+        return Key(key(order, backend, serial))
+
+    monkeypatch.setattr(Order, "key", counted)
+    return seen
+
+
+def work_of_changes(count: int, seen: Tally[str]) -> tuple[float, float, float]:
+    """Hashes, comparisons and uses of a change in a list of so many, for a gateway of the target's fleet."""
+    used: Tally[str] = Tally()
+
+    def use(e: api.BackendEntry) -> int:
+        used["used"] += 1
+        return e.backend
+
+    m, chance = Membership(1_234, 3_700, use), random.Random(count)
+    tell(m, api.ListScope.FULL, some(range(count)), parts=20)
+    whole(m)
+    assert len(m.slice) == len(m.subset) > 0
+    seen.clear()
+    used.clear()
+    Key.compared, changes = 0, 300
+    for number in range(changes):
+        backend = chance.randrange(count)
+        for change in (entry(backend, DRAINING), entry(backend, GONE), entry(count + number)):
+            tell(m, api.ListScope.CHANGES, [change])
+    assert m.building is None
+    return seen["hashed"] / changes, Key.compared / changes, used["used"] / changes
+
+
+def test_a_change_costs_by_the_logarithm_of_the_list(work: Tally[str]) -> None:
+    """Danger: a list sorted and hashed at every change holds all requests up for a tenth of a second."""
+    small, large = work_of_changes(2_000, work), work_of_changes(39_000, work)
+    assert small[0] == large[0] == 1.0, "each backend that comes is hashed, once, and no other"
+    assert large[1] < 8 * math.log2(39_000) and large[1] < 2 * small[1]
+    assert large[2] < 4, "the slice changes at its edges only"
+
+
+def test_a_whole_list_is_ordered_in_steps(work: Tally[str]) -> None:
+    m = members(1_234, 3_700)
+    entries = some(range(20_000))
+    for at in range(0, 20_000, 64):
+        before = work["hashed"]
+        tell_part = api.BackendsChanged(
+            api.ListScope.FULL, tuple(entries[at : at + 64]), at == 0, at + 64 >= len(entries)
+        )
+        m.take(tell_part)
+        assert work["hashed"] == before, "and none of it before all is known"
+    assert m.building is not None
+    turns = 0
+    while m.building is not None:
+        before = work["hashed"]
+        m.step()
+        turns += 1
+        assert work["hashed"] - before <= STEP
+    assert work["hashed"] == 20_000 and turns == math.ceil(20_000 / STEP)
+    work.clear()
+    tell(m, api.ListScope.FULL, entries[:-3], parts=300)
+    assert m.building is None and not work["hashed"], "a list that hardly differs costs by the difference"
+    plain = Plain(1_234, 3_700)
+    plain.take(api.ListScope.FULL, entries[:-3])
+    assert m.subset == plain.slice()
+
+
+def test_drains_in_a_part_are_in_force_at_once_and_what_is_new_with_the_last() -> None:
+    m = members()
+    tell(m, api.ListScope.FULL, some(range(9)))
+    drained = [entry(i, DRAINING) for i in range(4)]
+    m.take(api.BackendsChanged(api.ListScope.FULL, (*drained, entry(20)), True, False))
+    assert m.subset == [4, 5, 6, 7, 8]
+    m.take(api.BackendsChanged(api.ListScope.FULL, (entry(4), entry(21)), False, True))
+    assert m.subset == [4, 20, 21]
+
+
+@pytest.mark.parametrize("then", [api.ListScope.CHANGES, api.ListScope.FULL])
+def test_of_a_list_that_breaks_off_nothing_new_is_used(then: api.ListScope) -> None:
+    m = members()
+    tell(m, api.ListScope.FULL, some(range(3)))
+    m.take(api.BackendsChanged(api.ListScope.FULL, (entry(0), entry(7)), True, False))
+    tell(m, then, some(range(1, 4)))
+    m.take(api.BackendsChanged(api.ListScope.FULL, (entry(8),), False, True))  # the rest comes too late
+    assert m.subset == ([0, 1, 2, 3] if then is api.ListScope.CHANGES else [1, 2, 3])
+
+
+def test_changes_amid_the_steps_are_in_force() -> None:
+    m, plain = members(5, 3_700), Plain(5, 3_700)
+    entries = some(range(5_000))
+    tell(m, api.ListScope.FULL, entries, parts=50)
+    plain.take(api.ListScope.FULL, entries)
+    chance = random.Random(4)
+    while m.building is not None:
+        changes = [entry(chance.randrange(6_000), chance.choice((READY, DRAINING, GONE))) for _ in range(20)]
+        tell(m, api.ListScope.CHANGES, changes)
+        plain.take(api.ListScope.CHANGES, changes)
+        m.step()
+        assert set(m.subset) <= {i for i, e in plain.listed.items() if e.state is READY}
+    assert m.subset == plain.slice()
+
+
+def test_a_list_replaced_as_a_whole_leaves_none_of_the_old_in_use() -> None:
+    m = members(5, 3_700)
+    tell(m, api.ListScope.FULL, some(range(5_000)), parts=9)
+    whole(m)
+    assert m.subset
+    tell(m, api.ListScope.FULL, some(range(5_000, 10_000)), parts=9)
+    assert not m.subset and m.building is not None
+    assert all(e.backend >= 5_000 for e in m.others(random.Random(1)))
+    whole(m)
+    assert m.subset and min(m.subset) >= 5_000
+
+
+def test_beyond_the_slice_of_a_long_list_a_cell_or_some_by_chance_are_found() -> None:
+    m = members(5, 3_700, by_cell=True)
+    tell(m, api.ListScope.FULL, some(range(9_000), cells=300))
+    whole(m)
+    found = {e.backend for e in m.others(random.Random(1), ("a", 7))}
+    assert found == set(range(7, 9_000, 300))
+    drawn = [{e.backend for e in m.others(random.Random(seed))} for seed in range(2)]
+    assert all(len(d) == AT_ONCE for d in drawn) and drawn[0] != drawn[1]
+
+
+# ---- in the module ----
+
+
+def large(count: int) -> Gateway:
+    """A gateway of the target's fleet with so many backends."""
+    rules = settings(index=1_234, gateways=3_700, rules=RULES, classes=(SAFE, KEYED))
+    gateway = Gateway(rules, seed=1)
+    parts = [some(range(at, min(count, at + 64))) for at in range(0, count, 64)]
+    for number, part in enumerate(parts):
+        scope, first, last = api.ListScope.FULL, number == 0, number == len(parts) - 1
+        actions = gateway.handle(1_000.0, api.BackendsChanged(scope, tuple(part), first, last))
+        assert actions == ([api.SetTimer(0.0, "order")] if last else [])
+    while actions:
+        actions = gateway.handle(1_000.0, api.TimerFired("order"))
+    return gateway
+
+
+def test_the_module_goes_on_with_a_long_order_as_its_timer_fires() -> None:
+    gateway = large(5_000)
+    plain = Plain(1_234, 3_700)
+    plain.take(api.ListScope.FULL, some(range(5_000)))
+    assert [b.id for b in gateway.subset] == plain.slice()
+
+
+def test_what_was_seen_is_kept_of_backends_in_use_only() -> None:
+    gateway, chance = large(9_000), random.Random(3)
+    assert len(gateway.backends) == len(gateway.subset) < 100
+    for number in range(9_000):
+        change = entry(chance.randrange(9_000), chance.choice((READY, DRAINING)))
+        gateway.handle(2_000.0 + number, api.BackendsChanged(api.ListScope.CHANGES, (change,)))
+        assert len(gateway.backends) <= len(gateway.subset) + KEPT + 1
+    assert all(gateway.backends[b.id] is b for b in gateway.subset)
+
+
+def test_a_keyed_repeat_finds_its_cell_beyond_the_slice() -> None:
+    """Few of a cell are in a slice of a long list, or none."""
+    world = World([entry(1)], index=3, gateways=3_700, classes=(SAFE, KEYED))
+    world.give(api.BackendsChanged(api.ListScope.FULL, tuple(some(range(2_000), cells=100))))
+    world.pass_time(10)
+    (first,) = sends(world.ask("order"))
+    (again,) = sends(world.end(first, api.Outcome.RESET, finished=False))
+    assert again.backend % 100 == first.backend % 100 and again.backend != first.backend
