Read, tell and keep a long list of backends in bounded pieces

Lines at fault: `Discovery._lines` (`rest + event.data`), `_join`, `_take` (`json.loads`), `Driver.members`, `Backends.update`. Ruled out: reading objects as they come, half parsed: what is malformed could not be told from what is not whole yet.

Change: roadpulley/jsonlines.py puts an object together from its pieces and reads its entries 64 at a time (`read_parts`); after as many, what else waits has its turn, also between many small messages. The parts of a whole list go to the module as such, which puts nothing new in force before the last; a list that breaks off leaves none behind. The pool keeps an address for each that is listed and a `Host` for those with connections.

Two tests took the new arguments of the listener, and one no longer expects a pool before the first request.

--- a/roadpulley/backends.py
+++ b/roadpulley/backends.py
@@ -294,7 +294,8 @@
         self.idle_ms, self.drain_grace, self.most = keepalive * IDLE_SHARE, drain_grace, most
         self.most_held, self.held = memory, 0  # bytes of answers that are not whole, of all connections
         self.freshness = Freshness()
-        self.hosts: dict[int, Host] = {}
+        self.addresses: dict[int, Address] = {}  # of all that are listed
+        self.hosts: dict[int, Host] = {}  # of these, those with connections, and others that drain
         self.connections: set[Connection] = set()
         self.buffer = bytearray(READ_BYTES)  # of all connections: each takes out at once what it has read
         self.view = memoryview(self.buffer)
@@ -307,15 +308,21 @@
     def update(self, backend: int, address: Address, state: BackendState) -> None:
         if state is not BackendState.READY:
             return self.retire(backend)
-        host = self.hosts.get(backend)
-        if host is None:
-            host = self.hosts[backend] = Host(address)
-        if host.address != address:
-            self.close_idle(host)
-            host.address = address
-        host.cutoff = float("inf")
+        self.addresses[backend] = address
+        if host := self.hosts.get(backend):
+            if host.address != address:
+                self.close_idle(host)
+                host.address = address
+            host.cutoff = float("inf")
+
+    def keep(self, addresses: dict[int, Address]) -> None:
+        """Take a whole list: what is not in it is gone."""
+        for backend in self.hosts.keys() - addresses.keys():
+            self.retire(backend)
+        self.addresses = addresses
 
     def retire(self, backend: int) -> None:
+        self.addresses.pop(backend, None)
         if host := self.hosts.get(backend):
             host.cutoff = min(host.cutoff, now_ms() + self.drain_grace - CUTOFF_MARGIN_MS)
             self.close_idle(host)
@@ -324,6 +331,8 @@
 
     def send(self, attempt: Attempt) -> None:
         host = self.hosts.get(attempt.backend)
+        if host is None and (address := self.addresses.get(attempt.backend)):
+            host = self.hosts[attempt.backend] = Host(address)
         if host is None or not host.takes_new(now_ms()):
             return attempt.end(Outcome.CONNECT)
         now = now_ms()
@@ -379,12 +388,13 @@
     def sweep(self) -> None:
         now = now_ms()
         self.freshness.fade()
+        used = {connection.host for connection in self.connections}
         for backend, host in list(self.hosts.items()):
             for connection in list(host.idle):
                 if now - connection.idle_since < min(self.idle_ms, self.freshness.limit):
                     break
                 connection.close()
-            if not host.takes_new(now):
+            if not host.takes_new(now) or host not in used:
                 del self.hosts[backend]
         for what, tally in (("connections not opened", self.unopened), ("spoilt answers", self.spoilt)):
             if tally:
--- a/roadpulley/discovery.py
+++ b/roadpulley/discovery.py
@@ -5,12 +5,12 @@
 import asyncio
 import contextlib
 import hashlib
-import json
 import logging
-from collections.abc import AsyncGenerator, Callable
-from dataclasses import dataclass, field
+from collections import deque
+from collections.abc import AsyncGenerator, Callable, Iterable
+from dataclasses import dataclass
 from functools import partial
-from typing import Any
+from typing import Any, Protocol
 
 import h11
 
@@ -18,6 +18,7 @@
 
 from .backoff import Backoff
 from .config import Address, parse_address
+from .jsonlines import BrokenObject, ObjectReader, read_parts
 
 log = logging.getLogger(__name__)
 
@@ -29,8 +30,8 @@
 BACKOFF_S = (0.1, 1.0)  # the first wait before a new watch where the last one broke, and the longest
 MOST_TRIES = 4  # watches opened beside each other for want of an answer
 BUSY = (429, 503)  # turned away for what others ask
-LONGEST_LINE = 16 * 1024 * 1024
-MOST_LINES = 1_000_000  # of an indented object
+AT_ONCE = 64  # entries that are read and told before what else waits has its turn
+A_MESSAGE = 4  # entries' worth of work in a message itself
 STATES = {"up": BackendState.READY, "draining": BackendState.DRAINING, "removed": BackendState.GONE}
 
 
@@ -55,7 +56,11 @@
     members: tuple[Member, ...]
 
 
-Listener = Callable[[ListScope, tuple[Member, ...]], None]
+class Listener(Protocol):
+    def __call__(
+        self, scope: ListScope, members: tuple[Member, ...], first: bool = True, last: bool = True
+    ) -> None:
+        """Take changes, or one part of a whole list."""
 
 
 def host_number(host: str) -> int:
@@ -74,14 +79,29 @@
     return Member(entry, parse_address(raw["dial"]))
 
 
-def read_list(raw: Any) -> MemberList:
+MALFORMED = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
+
+
+def read_members(hosts: Iterable[Any]) -> tuple[Member, ...]:
     try:
-        members = tuple(read_member(host) for host in raw.get("hosts") or ())
-        return MemberList(int(raw["seq"]), bool(raw.get("whole")), members)
-    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
+        return tuple(read_member(host) for host in hosts)
+    except MALFORMED as error:
         raise DiscoveryError(f"{type(error).__name__}: {error}") from error
 
 
+def read_version(raw: Any) -> int:
+    try:
+        return int(raw["seq"])
+    except MALFORMED as error:
+        raise DiscoveryError(f"{type(error).__name__}: {error}") from error
+
+
+def read_list(raw: Any) -> MemberList:
+    """Raises DiscoveryError for what is no list."""
+    version = read_version(raw)
+    return MemberList(version, bool(raw.get("whole")), read_members(raw.get("hosts") or ()))
+
+
 @dataclass(eq=False, slots=True)
 class Watch:
     """One call to discovery, from its connection to its end."""
@@ -91,8 +111,6 @@
     task: asyncio.Task[str] | None = None
     heard: bool = False  # an answer has begun
     refused: bool = False  # turned away as busy
-    lines: list[bytes] = field(default_factory=list)  # of an object that is not whole yet
-    depth: int = 0  # braces of it that are open
 
     def cancel(self) -> None:
         if self.task is not None:
@@ -125,6 +143,7 @@
         self._tries: list[Watch] = []  # those not heard yet, the oldest first
         self._wait, self._next_at = BACKOFF_S[0], 0.0  # after a watch has ended; for the next one
         self._reason = ""  # why the last watch ended
+        self._told = 0  # entries, since what else waits had its turn
         self._changed = asyncio.Event()
 
     def move(self, address: Address) -> None:
@@ -206,13 +225,11 @@
     async def _watch(self, watch: Watch, target: str) -> str:
         """Follow the list until the connection ends; gives the reason."""
         try:
-            async with contextlib.aclosing(self._lines(watch, target)) as lines:
-                async for line in lines:
+            async with contextlib.aclosing(self._objects(watch, target)) as objects:
+                async for text in objects:
                     if watch is not self._follower:
                         return "left"
-                    self._join(watch, line)
-            if watch.lines:
-                raise self._unread("an object that was cut short")
+                    await self._take(watch, text)
             return "ended"
         except (OSError, h11.ProtocolError, DiscoveryError) as error:  # time-outs are among these
             watch.refused = isinstance(error, DiscoveryBusy)
@@ -227,38 +244,56 @@
         # With no version known, the whole list comes first.
         return PATH if self.version is None else f"{PATH}?stream=1&index={self.version}"
 
-    def _join(self, watch: Watch, line: bytes) -> None:
-        """Take each object once it is whole: it may come indented, over several lines."""
-        # Danger: an object that was cut short would swallow all that come after it.
-        if watch.lines and (not line.strip() or line.startswith(b'{"seq"')):
-            raise self._unread("an object that was cut short")
-        if line.strip():
-            watch.lines.append(line)
-            watch.depth += line.count(b"{") - line.count(b"}")
-            if watch.depth <= 0:
-                text, watch.lines, watch.depth = b"\n".join(watch.lines), [], 0
-                self._take(watch, text)
-            elif len(watch.lines) > MOST_LINES:
-                raise self._unread("an endless object")
-
     def _unread(self, reason: str) -> DiscoveryError:
         """What this change held is not known: everything is read again."""
         self.version = None
         return DiscoveryError(reason)
 
-    def _take(self, watch: Watch, text: bytes) -> None:
+    def _read(self, read: Callable[..., list[bytes]], *data: bytes | bytearray) -> list[bytes]:
+        try:
+            return read(*data)
+        except BrokenObject as error:
+            raise self._unread(str(error)) from error
+
+    async def _take(self, watch: Watch, text: bytes) -> None:
+        """Tell what an object holds, a few entries at a time; what scope it has may stand behind them."""
+        fields: dict[str, Any] = {}
+        parts: deque[tuple[Member, ...]] = deque()
+        first = True
+        await self._turn(A_MESSAGE)
         try:
-            got = read_list(json.loads(text))
+            for hosts in read_parts(text.decode(), "hosts", AT_ONCE, fields):
+                parts.append(read_members(hosts))
+                if len(parts) > 1 and "whole" in fields:
+                    self._tell(fields, parts.popleft(), first, False)
+                    first = False
+                await self._turn(len(hosts))
+            version = read_version(fields)
         except (ValueError, RecursionError, DiscoveryError) as error:
             raise self._unread(str(error)) from error
-        if got.whole or got.members:
-            self.listener(ListScope.FULL if got.whole else ListScope.CHANGES, got.members)
+        whole = bool(fields.get("whole"))
+        if whole and not parts:
+            parts.append(())
+        while parts:
+            self._tell(fields, parts.popleft(), first, not parts)
+            first = False
+            await self._turn(AT_ONCE if parts else 0)
         if watch.address == self.address:
-            self.version = got.version
-            if got.whole:
+            self.version = version
+            if whole:
                 self.read.set()
 
-    async def _lines(self, watch: Watch, target: str) -> AsyncGenerator[bytes, None]:
+    def _tell(self, fields: dict[str, Any], members: tuple[Member, ...], first: bool, last: bool) -> None:
+        self.listener(ListScope.FULL if fields.get("whole") else ListScope.CHANGES, members, first, last)
+
+    async def _turn(self, entries: int) -> None:
+        """Let what else waits have its turn, if so many more entries are enough for once."""
+        self._told += entries
+        if self._told >= AT_ONCE:
+            self._told = 0
+            await asyncio.sleep(0)
+
+    async def _objects(self, watch: Watch, target: str) -> AsyncGenerator[bytes, None]:
         host, port = watch.address
         async with asyncio.timeout(CONNECT_S):
             reader, writer = await asyncio.open_connection(host, port)
@@ -267,7 +302,7 @@
             headers = [("Host", f"{host}:{port}"), ("Accept", "application/json")]
             writer.write(http.send(h11.Request(method="GET", target=target, headers=headers)) or b"")
             writer.write(http.send(h11.EndOfMessage()) or b"")
-            rest = b""
+            objects = ObjectReader()
             while True:
                 event = http.next_event()
                 if event is h11.NEED_DATA:
@@ -281,14 +316,11 @@
                         raise DiscoveryError(f"status {event.status_code}")
                     self._on_heard(watch)
                 elif isinstance(event, h11.Data):
-                    *lines, rest = (rest + event.data).split(b"\n")
-                    for line in lines:
-                        yield line
-                    if len(rest) > LONGEST_LINE:
-                        raise DiscoveryError("an endless line")
+                    for text in self._read(objects.feed, event.data):
+                        yield text
                 elif isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
-                    if rest.strip():
-                        yield rest
+                    for text in self._read(objects.end):
+                        yield text
                     return
         finally:
             writer.close()
--- a/roadpulley/driver.py
+++ b/roadpulley/driver.py
@@ -13,6 +13,7 @@
 from .backends import Attempt, Backends
 from .clients import Command, Slot
 from .clock import Timer, Timers, now_ms
+from .config import Address
 from .counter import Counter
 from .discovery import Member
 from .resp import bulk
@@ -54,6 +55,7 @@
         self.timers, self.backends, self.counter, self.max_open = timers, backends, counter, max_open
         self.requests: dict[str, Request] = {}
         self.attempts: dict[tuple[str, int], Attempt] = {}  # out, also those of requests that have ended
+        self.listed: dict[int, Address] = {}  # what has come of a whole list
         self.events: deque[api.Event] = deque()
         self.busy = self.ending = False
 
@@ -82,14 +84,20 @@
         if isinstance(event, api.RequestArrived | api.AttemptEnded):
             self.finish(event.request, FAILED)
 
-    def members(self, scope: api.ListScope, members: tuple[Member, ...]) -> None:
-        if scope is not api.ListScope.CHANGES:
-            listed = {m.entry.backend for m in members}
-            for backend in set(self.backends.hosts) - listed:
-                self.backends.retire(backend)
+    def members(
+        self, scope: api.ListScope, members: tuple[Member, ...], first: bool = True, last: bool = True
+    ) -> None:
+        if scope is not api.ListScope.CHANGES and first:
+            self.listed = {}
         for member in members:
             self.backends.update(member.entry.backend, member.address, member.entry.state)
-        self.give(api.BackendsChanged(scope, tuple(m.entry for m in members)))
+        if scope is not api.ListScope.CHANGES:
+            ready = (m for m in members if m.entry.state is api.BackendState.READY)
+            self.listed.update((m.entry.backend, m.address) for m in ready)
+            if last:
+                self.backends.keep(self.listed)
+                self.listed = {}
+        self.give(api.BackendsChanged(scope, tuple(m.entry for m in members), first, last))
 
     def on_command(self, command: Command, slot: Slot) -> None:
         # Danger: an attempt that goes on after its request's answer is known by the id as well.
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -238,7 +238,9 @@
         self.service, self.version, self.heard = service or Discovery(), version, Heard()
         self.again = again
 
-    def take(self, scope: ListScope, members: tuple[Member, ...]) -> None:
+    def take(
+        self, scope: ListScope, members: tuple[Member, ...], first: bool = True, last: bool = True
+    ) -> None:
         self.heard.append((scope, [(m.entry.backend, m.entry.state) for m in members]))
 
     async def __aenter__(self) -> Watch:
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -191,7 +191,7 @@
         async with pool(server) as made:
             outcomes = []
             for _ in range(12):
-                for connection in made.hosts[0].idle:
+                for connection in [c for host in made.hosts.values() for c in host.idle]:
                     connection.idle_since -= 300
                 outcomes.append((await Try(made).result())[0])
             assert outcomes.count(Outcome.RESET) <= 3 and outcomes[-5:] == [Outcome.OK] * 5
@@ -461,3 +461,26 @@
             assert sum(len(b.got) for b in world.backends) == 1
 
     in_loop(scenario)
+
+
+def test_what_is_listed_costs_an_address_and_only_backends_in_use_a_pool() -> None:
+    async def scenario() -> None:
+        server = Backend()
+        async with pool(server) as made:
+            listed = {number: (LOCAL, server.port) for number in range(2_000)}
+            for number, address in listed.items():
+                made.update(number, address, BackendState.READY)
+            assert not made.hosts
+            assert (await Try(made, 7).result())[0] is Outcome.OK
+            assert set(made.hosts) == {7}
+            made.sweep()
+            assert set(made.hosts) == {7}, "its connection may be used again"
+            made.close_idle(made.hosts[7])
+            made.sweep()
+            assert not made.hosts
+            assert (await Try(made, 7).result())[0] is Outcome.OK
+            made.keep({number: listed[number] for number in range(7)})
+            assert (await Try(made, 9).result())[0] is Outcome.CONNECT, "the whole list leaves it out"
+            assert not made.hosts[7].idle and made.hosts[7].cutoff < float("inf"), "no more than its grace"
+
+    in_loop(scenario)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -3,13 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import random
+from collections import Counter as Tally
 from typing import Any
 
 import pytest
+from helpers import settings
 from loopback import LOCAL, Backend, Discovery, Watch, World, host, in_loop, running, until
 
-from mintford.interface import BackendState, ListScope
+from mintford import Gateway
+from mintford.interface import BackendsChanged, BackendState, ListScope
 from roadpulley import discovery as module
 from roadpulley.backoff import Backoff
 from roadpulley.discovery import DiscoveryError, Member, host_number, read_list
@@ -86,7 +90,9 @@
             await watch.watched(1)
             take, faults = watch.take, [RuntimeError("not now")]
 
-            def faulty(scope: ListScope, members: tuple[Member, ...]) -> None:
+            def faulty(
+                scope: ListScope, members: tuple[Member, ...], first: bool = True, last: bool = True
+            ) -> None:
                 if faults:
                     raise faults.pop()
                 take(scope, members)
@@ -197,3 +203,91 @@
             assert told[2] > told[0] >= 0.5, "as many gateways ask, and each doubles its wait"
 
     in_loop(scenario)
+
+
+LONG = 1_000  # entries, far more than are taken at once
+
+
+def long_list(seq: int, health: str = "up") -> dict[str, Any]:
+    return {"seq": seq, "whole": True, "hosts": [host(f"h{number}", 1, health) for number in range(LONG)]}
+
+
+@pytest.mark.parametrize("order", [["seq", "whole", "hosts"], ["hosts", "whole", "seq"]])
+def test_a_long_list_is_told_in_parts_and_what_waits_has_its_turn_between(order: list[str]) -> None:
+    """Danger: read in one piece, a list of 39,000 holds up all requests for most of a second."""
+
+    async def scenario() -> None:
+        async with Watch(version=None) as watch:
+            parts: list[tuple[int, bool, bool]] = []
+            turns_at: list[int] = []
+            turns = 0
+
+            def take(
+                scope: ListScope, members: tuple[Member, ...], first: bool = True, last: bool = True
+            ) -> None:
+                assert scope is ListScope.FULL
+                parts.append((len(members), first, last))
+                turns_at.append(turns)
+
+            watch.client.listener = take
+            listed = long_list(7)
+            watch.service.whole = {name: listed[name] for name in order}
+            while not watch.client.read.is_set():
+                await asyncio.sleep(0)
+                turns += 1
+            assert sum(count for count, _, _ in parts) == LONG
+            assert max(count for count, _, _ in parts) <= module.AT_ONCE
+            assert [first for _, first, _ in parts] == [True] + [False] * (len(parts) - 1)
+            assert [last for _, _, last in parts] == [False] * (len(parts) - 1) + [True]
+            assert max(Tally(turns_at).values()) <= 2, "the event loop turns between them"
+
+    in_loop(scenario)
+
+
+def test_many_changes_that_come_together_leave_turns_between() -> None:
+    async def scenario() -> None:
+        async with Watch() as watch:
+            await watch.watched(1)
+            turns, at = 0, Tally[int]()
+
+            def take(
+                scope: ListScope, members: tuple[Member, ...], first: bool = True, last: bool = True
+            ) -> None:
+                at[turns] += len(members)
+
+            watch.client.listener = take
+            for number in range(LONG):
+                watch.service.change(42 + number, host(f"h{number}", 1))
+            while at.total() < LONG:
+                await asyncio.sleep(0)
+                turns += 1
+            assert max(at.values()) <= module.AT_ONCE
+
+    in_loop(scenario)
+
+
+def test_a_long_list_that_breaks_off_puts_nothing_new_in_force() -> None:
+    """The first parts of it are with the module by then; the list that is whole comes next."""
+
+    async def scenario() -> None:
+        async with Watch() as watch:
+            gateway = Gateway(settings(), 1)
+            lasts = []
+
+            def take(
+                scope: ListScope, members: tuple[Member, ...], first: bool = True, last: bool = True
+            ) -> None:
+                lasts.append(last)
+                gateway.handle(1.0, BackendsChanged(scope, tuple(m.entry for m in members), first, last))
+
+            watch.client.listener = take
+            await watch.watched(1)
+            broken = long_list(43)
+            broken["hosts"][-1] = {"host": "h"}
+            watch.service.whole = {"seq": 44, "whole": True, "hosts": [host("good", 1)]}
+            watch.service.say(json.dumps(broken).encode())
+            await watch.watched(2)
+            assert len(lasts) > 2 and lasts[-1] and not any(lasts[:-1])
+            assert [b.id for b in gateway.subset] == [host_number("good")]
+
+    in_loop(scenario)
--- a/tests/test_told_in_time.py
+++ b/tests/test_told_in_time.py
@@ -183,7 +183,9 @@
             assert isinstance(service, Service)
             drain_told = asyncio.Event()
 
-            def take(scope: ListScope, members: tuple[module.Member, ...]) -> None:
+            def take(
+                scope: ListScope, members: tuple[module.Member, ...], first: bool = True, last: bool = True
+            ) -> None:
                 if any(member.entry.state is BackendState.DRAINING for member in members):
                     drain_told.set()
 
