Add scale: stand-ins, real gateways under load, and its quickstart

A package of its own with an extra of its own; the parent leads processes over pipes and never imports the program.

--- /dev/null
+++ b/scale/__main__.py
@@ -0,0 +1,122 @@
+"""`python -m scale`: what the gateway's control work costs at the sizes of a large fleet."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import click
+from rich.console import Console
+
+from . import quickstart
+from .errors import RunProblem, UsageProblem
+from .program import checkout
+from .report import Result, ResultFile
+
+Printer = Callable[[Console, Result], None]
+INTERRUPTED = 130
+WIDE = 150  # columns of a table that goes to a file or a pipe
+
+
+class Numbers(click.ParamType[tuple[float, ...]]):
+    """Numbers with commas between them."""
+
+    name = "N,N,..."
+
+    def convert(
+        self, value: Any, param: click.Parameter | None, ctx: click.Context | None
+    ) -> tuple[float, ...]:
+        if isinstance(value, tuple):
+            return value
+        try:
+            numbers = tuple(float(item) for item in str(value).split(","))
+        except ValueError:
+            self.fail(f"{value!r} is not a list of numbers with commas between", param, ctx)
+        if not all(0 <= number < 1e9 for number in numbers):
+            self.fail(f"{value!r} holds a number out of range", param, ctx)
+        return numbers
+
+
+def common(command: Callable[..., None]) -> Callable[..., None]:
+    """The options that all scenarios have."""
+    options = [
+        click.option("--seed", type=int, default=1, show_default=True, help="of all chance"),
+        click.option("--json", "json_file", metavar="FILE", help="write the result here as well"),
+        click.option(
+            "--stall",
+            type=click.FloatRange(0, 5_000),
+            default=0.0,
+            metavar="MS",
+            help="hold the discovery stand-in up for so long while measured: shows what a late run gives",
+        ),
+    ]
+    for option in reversed(options):
+        command = option(command)
+    return command
+
+
+async def interruptible(run: Coroutine[Any, Any, Result]) -> Result:
+    """SIGTERM ends a run as Ctrl-C does: in order, with all its processes."""
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await run
+
+
+def carry_out(
+    check: Callable[[], None],
+    run: Callable[[Console], Coroutine[Any, Any, Result]],
+    printer: Printer,
+    json_file: str | None,
+) -> None:
+    check()
+    file = ResultFile(json_file)
+    result = asyncio.run(interruptible(run(Console(stderr=True, highlight=False))))
+    out = Console(highlight=False)
+    printer(out if out.is_terminal else Console(highlight=False, width=WIDE), result)
+    file.write(result)
+
+
+@click.group(context_settings={"show_default": True, "max_content_width": 110})
+def cli() -> None:
+    """Scale runs of the gateway: control work at the sizes of a large fleet, on loopback sockets only."""
+
+
+@cli.command("quickstart")
+@click.option("--gateways", type=click.IntRange(1), default=3, help="real ones, a process each")
+@click.option("--backends", type=click.IntRange(1), default=6)
+@click.option("--customers", type=click.IntRange(1), default=30)
+@click.option("--rate", type=click.FloatRange(0, min_open=True), default=200.0, help="requests a second")
+@click.option("--seconds", type=click.FloatRange(0, 600, min_open=True), default=5.0)
+@click.option("--program", default=".", metavar="DIR", help="a checkout of the program")
+@common
+def quickstart_command(json_file: str | None, program: str, **asked: Any) -> None:
+    """A few real gateways under load: what was served, refused and failed, and how fast."""
+    scenario = quickstart.Quickstart(program=str(checkout(program)), **asked)
+    carry_out(scenario.check, scenario.run, quickstart.print_result, json_file)
+
+
+def main() -> int:
+    """0 once a run is done, 1 if it failed, 2 for what cannot be run, 130 if it was interrupted."""
+    try:
+        cli.main(prog_name="python -m scale", standalone_mode=False)
+    except click.ClickException as error:
+        error.show()
+        return error.exit_code
+    except UsageProblem as error:
+        print(f"scale: {error}", file=sys.stderr)
+        return 2
+    except RunProblem as error:
+        print(f"scale: the run failed: {error}", file=sys.stderr)
+        return 1
+    except (click.Abort, KeyboardInterrupt, asyncio.CancelledError):
+        print("scale: interrupted, all processes have ended", file=sys.stderr)
+        return INTERRUPTED
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
