--- a/scale/__main__.py
+++ b/scale/__main__.py
@@ -11,7 +11,7 @@
 import click
 from rich.console import Console
 
-from . import control, quickstart
+from . import control, fleet, machine, quickstart
 from .errors import RunProblem, UsageProblem
 from .program import checkout
 from .report import Result, ResultFile
@@ -157,6 +157,48 @@
     carry_out(scenario.check, scenario.run, control.print_result, json_file)
 
 
+@cli.command("fleet")
+@click.option("--hollow", type=click.IntRange(1), default=40, help="gateways without clients")
+@click.option("--processes", type=click.IntRange(1, machine.MOST_PROCESSES), default=4, help="that hold them")
+@click.option("--real", type=click.IntRange(0), default=2, help="gateways, a process each")
+@click.option("--backends", type=click.IntRange(2), default=2_000, help="size of the list")
+@click.option("--changes", type=click.FloatRange(0.1, 10_000), default=10.0, help="a second")
+@click.option("--seconds", type=click.FloatRange(0.1, 600), default=5.0, help="of each part")
+@click.option("--bursts", type=Numbers(), default="300,5000", help="changes told in one message")
+@click.option(
+    "--window", type=click.FloatRange(0.5, 60), default=1.0, help="seconds of requests round a burst"
+)
+@click.option("--customers", type=Numbers(), default="30000,300000", help="of the whole fleet")
+@click.option("--spread", type=Numbers(), default="3,30", help="gateways that serve a customer")
+@click.option("--requests", type=click.FloatRange(0.1, 2_000), default=20.0, help="a second, each hollow one")
+@click.option(
+    "--rate", type=click.FloatRange(0.1, 20_000), default=300.0, help="requests a second, all real ones"
+)
+@click.option("--fleet", type=click.IntRange(1), default=3_700, help="gateways of the whole fleet")
+@click.option(
+    "--patience", type=click.FloatRange(1, 600), default=30.0, help="seconds for a change to be in force"
+)
+@programs
+@common
+def fleet_command(
+    json_file: str | None,
+    program: tuple[str, ...],
+    bursts: tuple[float, ...],
+    customers: tuple[float, ...],
+    spread: tuple[float, ...],
+    **asked: Any,
+) -> None:
+    """Many hollow gateways and a few real ones: how soon changes are in force, and what they cost."""
+    scenario = fleet.Fleet(
+        bursts=whole(bursts, "--bursts"),
+        customers=whole(customers, "--customers"),
+        spread=whole(spread, "--spread"),
+        programs=checkouts(program),
+        **asked,
+    )
+    carry_out(scenario.check, scenario.run, fleet.print_result, json_file)
+
+
 def main() -> int:
     """0 once a run is done, 1 if it failed, 2 for what cannot be run, 130 if it was interrupted."""
     try:
--- a/scale/control.py
+++ b/scale/control.py
@@ -227,11 +227,9 @@
 def goals(measured: dict[str, Any]) -> list[Goal]:
     """The goal figures of one program; each is compared with the median of the repeats."""
 
-    def at(size: int, name: str, unfinished: bool = False) -> float | None:
+    def at(size: int, name: str) -> float | None:
         column = measured.get(str(size))
-        if column is None:
-            return None
-        return float("inf") if unfinished and column["unfinished"] else float(column[name]["median"])
+        return float(column[name]["median"]) if column else None
 
     one, one_middle = at(TARGET, "one_cpu_ms"), at(MIDDLE, "one_cpu_ms")
     memory, small = at(TARGET, "end_rss_mb"), at(SMALL, "end_rss_mb")
@@ -244,7 +242,13 @@
             one / max(one_middle, 1e-6) if one is not None and one_middle is not None else None,
         ),
         Goal("5,000 changes in one message, longest hold-up", "ms", BURST_MS, at(TARGET, "burst_hold_ms")),
-        Goal("5,000 messages, processor time in all", "ms", MESSAGES_MS, at(TARGET, "messages_cpu_ms", True)),
+        Goal(
+            "5,000 messages, processor time in all",
+            "ms",
+            MESSAGES_MS,
+            at(TARGET, "messages_cpu_ms"),
+            cut_short=bool(measured.get(str(TARGET), {}).get("unfinished")),
+        ),
         Goal("whole list at a start, processor time", "ms", LIST_MS, at(TARGET, "start_cpu_ms")),
         Goal("whole list at a start, longest hold-up", "ms", LIST_HOLD_MS, at(TARGET, "start_hold_ms")),
         Goal(
--- a/scale/hollow.py
+++ b/scale/hollow.py
@@ -35,7 +35,7 @@
 BACKEND_SHARE, MEMORY_SHARE = 0.25, 0.2  # as in the program: of descriptors and memory
 GRACES, SOONEST_S = 0.25, 0.05  # likewise: when another watch is opened beside a silent one
 STEP_S = 0.005
-POLL_S = 0.02
+POLL_S = 0.05
 
 
 class Nowhere(Backends):
@@ -174,12 +174,8 @@
         self.gateways: list[Hollow] = []
         self.cpu = self.began = 0.0
 
-    async def start(self, configs: list[dict[str, Any]], customers: dict[str, int]) -> dict[str, float]:
-        """Start a gateway for each configuration, one after another; gives memory before and after, in MB.
-
-        `customers` are the arguments of `Customers`.
-        """
-        self.customers = Customers(**customers)
+    async def start(self, configs: list[dict[str, Any]]) -> dict[str, float]:
+        """Start a gateway for each configuration, one after another; gives memory before and after, in MB."""
         before = resident_mb()
         for config in configs:
             gateway = Hollow(config)
@@ -205,6 +201,10 @@
             "served": sum(gateway.served for gateway in self.gateways),
         }
 
+    async def serve(self, **customers: int) -> None:
+        """Have customers, as the arguments of `Customers` say."""
+        self.customers = Customers(**customers)
+
     async def requests(self, rate: float, seconds: float) -> None:
         """Give each gateway `rate` requests a second for so many seconds."""
         await give_requests(self.gateways, self.customers, rate, seconds)
@@ -213,11 +213,13 @@
         """For each change the milliseconds until it was in force, by gateway; -1: not in so many seconds."""
         end = time.monotonic() + patience
         changes = [(host_number(host), at) for host, at in zip(hosts, told_at, strict=True)]
-        while True:
-            found = [[gateway.in_force(*change) for gateway in self.gateways] for change in changes]
-            if all(at is not None for row in found for at in row) or time.monotonic() >= end:
-                break
+        # Only the last is asked for while it is waited for: all of them would take the time that is measured.
+        last = changes[-1:]
+        while time.monotonic() < end and not all(
+            gateway.in_force(*change) for change in last for gateway in self.gateways
+        ):
             await asyncio.sleep(POLL_S)
+        found = [[gateway.in_force(*change) for gateway in self.gateways] for change in changes]
         return [
             [-1.0 if at is None else round((at - told) * 1000, 3) for at in row]
             for row, (_, told) in zip(found, changes, strict=True)
--- a/scale/machine.py
+++ b/scale/machine.py
@@ -38,6 +38,12 @@
     return backends * HOST_KB / 1024 + backends * LIST_KB / 1024 * (2 + min(watches, 64))
 
 
+def check_fleet(gateways: int, fleet: int) -> None:
+    """UsageProblem for more gateways than the fleet that they belong to has."""
+    if gateways > fleet:
+        raise UsageProblem(f"{gateways} gateways are more than the fleet of {fleet}")
+
+
 def check(megabytes: float, processes: int, files: int = 0) -> None:
     """UsageProblem for a run that this machine has no room for; `files` are descriptors of one process."""
     whole = psutil.virtual_memory().total / 2**20
--- a/scale/report.py
+++ b/scale/report.py
@@ -27,10 +27,11 @@
     unit: str
     most: float
     measured: float | None  # None: this run did not measure it
+    cut_short: bool = False  # it took at least what was measured, and was not waited for
 
     @property
     def met(self) -> bool | None:
-        return None if self.measured is None else self.measured <= self.most
+        return None if self.measured is None else self.measured <= self.most and not self.cut_short
 
 
 @dataclass
--- a/scale/settings.py
+++ b/scale/settings.py
@@ -56,7 +56,9 @@
 class Customers:
     """The customers of a fleet: each is served by `spread` gateways in a row, numbered round."""
 
-    def __init__(self, customers: int, gateways: int, spread: int, seed: int) -> None:
+    def __init__(self, customers: int, gateways: int, spread: int, seed: int, base: int = 0) -> None:
+        """`base` is added to the customers' numbers, to keep them apart from others'."""
+        self.base = base
         self.customers, self.gateways, self.spread = customers, gateways, min(spread, gateways)
         self.chance = random.Random(seed)
 
@@ -67,7 +69,7 @@
         here = self.customers // self.gateways + (first < self.customers % self.gateways)
         if here:
             number = self.gateways * self.chance.randrange(here)
-        return number + first, first
+        return self.base + number + first, first
 
     def at_one(self) -> float:
         """How many customers each gateway serves, on the mean."""
