--- a/scale/__main__.py
+++ b/scale/__main__.py
@@ -98,9 +98,9 @@
     check()
     file = ResultFile(json_file)
     result = asyncio.run(interruptible(run(Console(stderr=True, highlight=False))))
+    file.write(result)
     out = Console(highlight=False)
     printer(out if out.is_terminal else Console(highlight=False, width=WIDE), result)
-    file.write(result)
 
 
 @click.group(context_settings={"show_default": True, "max_content_width": 110})
@@ -129,6 +129,7 @@
 @click.option("--requests", type=click.FloatRange(0, 2_000), default=50.0, help="a second, with customers")
 @click.option("--fleet", type=click.IntRange(1), default=3_700, help="gateways of the whole fleet")
 @click.option("--spread", type=click.IntRange(1), default=30, help="gateways that serve a customer")
+@click.option("--alone", type=click.IntRange(2, 10_000), default=32, help="changes that come one at a time")
 @click.option("--burst", type=click.IntRange(1, 100_000), default=5_000, help="changes")
 @click.option("--steady", type=click.FloatRange(0.1, 600), default=2.0, help="seconds of each even work")
 @click.option(
--- a/scale/child.py
+++ b/scale/child.py
@@ -16,6 +16,8 @@
 
 import uvloop
 
+from .program import bring_in, check_brought_in
+
 LONGEST_LINE = 256 * 1024 * 1024
 ROLES = {  # the last two import the program
     "standins": "scale.standins:StandIns",
@@ -24,7 +26,6 @@
     "hollow": "scale.hollow:HollowGateways",
     "measured": "scale.measured:Measured",
 }
-MEASURING = ("hollow", "measured")
 
 
 class Role(Protocol):
@@ -71,10 +72,10 @@
     role, *folder = argv
     out = os.dup(1)
     os.dup2(2, 1)  # whatever is printed is no answer
-    if role in MEASURING:
-        from .program import bring_in
-
-        bring_in(folder[0] if folder else "")
+    if folder:
+        bring_in(folder[0])
+        importlib.import_module(ROLES[role].partition(":")[0])
+        check_brought_in(folder[0])
     uvloop.run(talk(role, out))
     return 0
 
--- a/scale/children.py
+++ b/scale/children.py
@@ -20,7 +20,6 @@
 OWN = Path(__file__).resolve().parents[1]  # the folder that this package lies in
 ENDING_S = 5.0  # how long a process may take to end by itself
 CALL_S = 120.0
-LAST_LINES = 5
 
 
 class Child:
@@ -51,7 +50,7 @@
     def last_words(self) -> str:
         self.errors.seek(0)
         lines = self.errors.read().decode(errors="replace").strip().splitlines()
-        return " | ".join(lines[-LAST_LINES:]) or "it said nothing"
+        return lines[-1] if lines else "it said nothing"
 
     async def call(self, do: str, *, within: float = CALL_S, **given: Any) -> Any:
         """Call a method of the role and give what it gives. RunProblem if it fails, dies or is late."""
@@ -109,7 +108,7 @@
             role,
             *([str(program)] if program else []),
             cwd=program or OWN,
-            env={**os.environ, "PYTHONPATH": str(OWN)},
+            env={**os.environ, "PYTHONPATH": str(OWN), "PYTHONDONTWRITEBYTECODE": "1"},  # leaves no trace
             stdin=asyncio.subprocess.PIPE,
             stdout=asyncio.subprocess.PIPE,
             stderr=errors,
--- a/scale/control.py
+++ b/scale/control.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from dataclasses import asdict, dataclass, field
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
@@ -15,9 +15,9 @@
 from .report import Goal, Result, show, table, three
 from .world import World
 
-SINGLES, SINGLE_RATE = 40, 20.0  # changes that come alone, and how many a second
+SINGLE_RATE = 8.0  # changes a second that come alone
 BURST_S = 60.0  # how long a burst in one message may take
-SMALL, MIDDLE, TARGET = 200, 2_000, 39_000  # sizes that the goals name
+SMALL, MIDDLE, TARGET, BURST = 200, 2_000, 39_000, 5_000  # sizes that the goals name
 ONE_MS, FLAT, BURST_MS, MESSAGES_MS, LIST_MS, LIST_HOLD_MS, MEMORY_MB = 0.1, 2.0, 2.0, 600.0, 400.0, 5.0, 48.0
 
 Figures = dict[str, list[float]]  # measured values by name, one a repeat
@@ -45,6 +45,7 @@
     requests: float
     fleet: int
     spread: int
+    alone: int
     burst: int
     steady: float
     patience: float
@@ -67,7 +68,7 @@
         ]
 
     async def run(self, progress: Console) -> Result:
-        result = Result("control", asdict(self), machine=machine.facts())
+        result = Result.of("control", self, self.programs)
         columns = {program: {size: Column() for size in self.backends} for program in self.programs}
         for repeat in range(self.repeats):
             for size in self.backends:
@@ -78,7 +79,7 @@
                     await self._holdups(column, size, program, result)
         for program, sizes in columns.items():
             result.measured[program] = {str(size): column.as_dict() for size, column in sizes.items()}
-            result.goals[program] = goals(result.measured[program])
+            result.goals[program] = goals(result.measured[program], self.burst)
         return result
 
     async def _begin(
@@ -87,7 +88,7 @@
         world = await World.start(children, size, self.seed, None, self.stall)
         child = await children.start("measured", Path(program))
         customers = {"customers": max(self.customers), "gateways": self.fleet, "spread": self.spread}
-        bench = Bench(world, child, result, f"{size:,} backends")
+        bench = Bench(world, child, result, f"{size:,} backends", self.alone)
         await world.begin()
         bench.start = await child.call(
             "start",
@@ -192,12 +193,13 @@
     child: Child
     result: Result
     where: str
+    alone: int  # changes that come alone
     start: dict[str, Any] = field(default_factory=dict)
 
     async def singles(self) -> dict[str, Any]:
         """Changes that come one at a time."""
         await self._begin()
-        await self.call("tell_evenly", rate=SINGLE_RATE, seconds=SINGLES / SINGLE_RATE)
+        await self.call("tell_evenly", rate=SINGLE_RATE, seconds=self.alone / SINGLE_RATE)
         return await self._end(await self.call("prepare", counts=[], marked=True), BURST_S)
 
     async def told(self, counts: list[int], patience: float) -> dict[str, Any]:
@@ -224,13 +226,19 @@
         return taken
 
 
-def goals(measured: dict[str, Any]) -> list[Goal]:
-    """The goal figures of one program; each is compared with the median of the repeats."""
+def goals(measured: dict[str, Any], burst: int) -> list[Goal]:
+    """The goal figures of one program; each is compared with the median of the repeats.
+
+    A goal whose sizes the run did not have is not measured: `burst` is the size of the run's.
+    """
 
     def at(size: int, name: str) -> float | None:
         column = measured.get(str(size))
         return float(column[name]["median"]) if column else None
 
+    def at_burst(name: str) -> float | None:
+        return at(TARGET, name) if burst == BURST else None
+
     one, one_middle = at(TARGET, "one_cpu_ms"), at(MIDDLE, "one_cpu_ms")
     memory, small = at(TARGET, "end_rss_mb"), at(SMALL, "end_rss_mb")
     return [
@@ -241,12 +249,12 @@
             FLAT,
             one / max(one_middle, 1e-6) if one is not None and one_middle is not None else None,
         ),
-        Goal("5,000 changes in one message, longest hold-up", "ms", BURST_MS, at(TARGET, "burst_hold_ms")),
+        Goal("5,000 changes in one message, longest hold-up", "ms", BURST_MS, at_burst("burst_hold_ms")),
         Goal(
             "5,000 messages, processor time in all",
             "ms",
             MESSAGES_MS,
-            at(TARGET, "messages_cpu_ms"),
+            at_burst("messages_cpu_ms"),
             cut_short=bool(measured.get(str(TARGET), {}).get("unfinished")),
         ),
         Goal("whole list at a start, processor time", "ms", LIST_MS, at(TARGET, "start_cpu_ms")),
@@ -285,27 +293,24 @@
 
 
 def print_result(console: Console, result: Result) -> None:
-    sizes = [str(size) for size in result.asked["backends"]]
-    tables = []
-    for program, measured in result.measured.items():
-        rows: list[list[object]] = [
-            [title, *(three(measured[size][name]) for size in sizes)] for title, name in ROWS
-        ]
-        for spell in measured[sizes[0]]["steady"]:
-            rows += [
-                [f"{spell}: {title}", *(three(measured[size]["steady"][spell][name]) for size in sizes)]
-                for title, name in STEADY_ROWS
-                if any(measured[size]["steady"][spell][name]["max"] for size in sizes)
-            ]
-        unfinished = [size for size in sizes if measured[size]["unfinished"]]
-        if unfinished:
-            rows.append(
-                [
-                    "single messages not all in force in time",
-                    *("yes" if size in unfinished else "" for size in sizes),
-                ]
-            )
-        asked = result.asked
-        title = f"{program}: ms, median (least to most) of {asked['repeats']}; burst of {asked['burst']:,}"
-        tables.append(table(title, ["by number of backends", *(f"{int(size):,}" for size in sizes)], rows))
+    asked = result.asked
+    columns = {
+        f"{size:,}{result.label(program)}": measured[str(size)]
+        for size in asked["backends"]
+        for program, measured in result.measured.items()
+    }
+    taken = list(columns.values())
+    rows: list[list[object]] = [[title, *(three(column[name]) for column in taken)] for title, name in ROWS]
+    if any(column["unfinished"] for column in taken):
+        late = ["no" if column["unfinished"] else "yes" for column in taken]
+        rows.append(["burst of single messages, all in force in time", *late])
+    even: list[list[object]] = [
+        [f"{spell}: {title}", *(three(column["steady"][spell][name]) for column in taken)]
+        for spell in taken[0]["steady"]
+        for title, name in STEADY_ROWS
+        if any(column["steady"][spell][name]["max"] for column in taken)
+    ]
+    title = f"ms, median (least to most) of {asked['repeats']}; burst of {asked['burst']:,}"
+    heads = ["by number of backends", *columns]
+    tables = [table(title, heads, rows), table("Even work", heads, even)]
     show(console, result, *tables)
--- a/scale/fleet.py
+++ b/scale/fleet.py
@@ -4,7 +4,8 @@
 
 import asyncio
 from collections.abc import Sequence
-from dataclasses import asdict, dataclass
+from dataclasses import dataclass
+from itertools import product
 from pathlib import Path
 from typing import Any
 
@@ -60,7 +61,7 @@
         machine.check(needed, self.processes + self.real + 5, files)
 
     async def run(self, progress: Console) -> Result:
-        result = Result("fleet", asdict(self), machine=machine.facts())
+        result = Result.of("fleet", self, self.programs)
         for program in self.programs:
             async with Children() as children:
                 run = Run(self, result, progress, children, program)
@@ -131,18 +132,15 @@
             self.progress.print(f"a burst of {size:,} changes")
             name = f"burst of {size:,}"
             in_force[name], requests[name] = await self._burst(size)
-        calls = [
-            await self._calls(number, customers, spread)
-            for number, (customers, spread) in enumerate(
-                (c, s) for c in asked.customers for s in asked.spread
-            )
-        ]
+        calls = {
+            f"{customers:,}, each at {spread} gateways": await self._calls(number, customers, spread)
+            for number, (customers, spread) in enumerate(product(asked.customers, asked.spread))
+        }
         idle.pop("told")
         return {
             "in_force": in_force,
             "requests": requests,
             "a_gateway": {"idle": idle, "even changes": changing},
-            "started_mb": self.started_mb,
             "real_rss_mb": [round(psutil.Process(pid).memory_info().rss / 2**20, 1) for pid in self.pids],
             "counter": calls,
         }
@@ -174,6 +172,7 @@
             "told": told,
             "requests": requests,
             "cpu_ms_per_s": sum(part["cpu_s"] / part["seconds"] for part in read) * 1000 / hollow,
+            "state_mb": self.started_mb,  # grown at the start, for each gateway
             "rss_mb": sum(part["rss_mb"] for part in read) / hollow,
             "discovery_bytes_per_s": counted["discovery"]["sent"] / seconds / watches,
         }
@@ -257,43 +256,49 @@
 
 
 def print_result(console: Console, result: Result) -> None:
-    tables: list[Table] = []
-    for program, measured in result.measured.items():
-        tables += [in_force_table(program, measured), clients_table(program, measured)]
-        tables += [work_table(program, measured), counter_table(program, measured)]
-    show(console, result, *tables)
+    show(console, result, *(made(result) for made in (in_force, clients, work, counter)))
+
 
+def cases(result: Result, part: str) -> list[tuple[str, dict[str, Any]]]:
+    """The cases of one part of what was measured, of all programs, each with its name."""
+    return [
+        (name + result.label(program), case)
+        for program, measured in result.measured.items()
+        for name, case in measured[part].items()
+        if case is not None
+    ]
 
-def in_force_table(program: str, measured: dict[str, Any]) -> Table:
+
+def in_force(result: Result) -> Table:
+    keys = ("half_ms", "most_ms", "slowest_ms")
     rows = [
-        [name, case["changes"], three(case["half_ms"]), three(case["most_ms"]), three(case["slowest_ms"])]
-        + [case["missing"]]
-        for name, case in measured["in_force"].items()
+        [name, case["changes"], *(three(case[key]) for key in keys), case["missing"]]
+        for name, case in cases(result, "in_force")
     ]
     columns = ["changes", "", "at 50 in 100", "at 99 in 100", "at all", "missing"]
-    return table(f"{program}: ms until in force at hollow gateways, median (least to most)", columns, rows)
+    return table("ms until in force at hollow gateways, median (least to most) of the changes", columns, rows)
 
 
-def clients_table(program: str, measured: dict[str, Any]) -> Table:
+def clients(result: Result) -> Table:
     rows = [
-        [name, *(case[key] for key in ("served", "refused", "failed"))]
-        + [case["added"][key] for key in ("p50_ms", "p99_ms", "max_ms")]
-        for name, case in measured["requests"].items()
-        if case is not None
+        [name, *(case[key] for key in ("served", "refused", "failed")), *list(case["added"].values())[1:]]
+        for name, case in cases(result, "requests")
     ]
     columns = ["requests", "served", "refused", "failed", "added, 50 in 100", "99 in 100", "most"]
-    return table(f"{program}: ms that a real gateway adds to a request", columns, rows)
+    return table("ms that a real gateway adds to a request", columns, rows)
 
 
-def work_table(program: str, measured: dict[str, Any]) -> Table:
-    keys = ("cpu_ms_per_s", "rss_mb", "discovery_bytes_per_s")
-    rows = [[name, *(case[key] for key in keys)] for name, case in measured["a_gateway"].items()]
-    title = f"{program}: a hollow gateway; its state took {measured['started_mb']:.3g} MB at the start"
-    return table(title, ["work", "ms/s", "MB with its part of the process", "discovery, bytes/s"], rows)
+def work(result: Result) -> Table:
+    rows = [
+        [name, *(case[key] for key in ("cpu_ms_per_s", "state_mb", "rss_mb", "discovery_bytes_per_s"))]
+        for name, case in cases(result, "a_gateway")
+    ]
+    columns = ["a hollow gateway", "ms/s", "state, MB", "with its part of the process", "discovery, bytes/s"]
+    return table("What control work takes", columns, rows)
 
 
-def counter_table(program: str, measured: dict[str, Any]) -> Table:
-    keys = ("customers", "spread", "requests", "served", "calls_a_request", "counter_bytes_per_s")
-    rows = [[case[key] for key in (*keys, "cpu_ms_per_s")] for case in measured["counter"]]
-    columns = ["customers", "gateways of each", "requests", "served", "calls a request", "bytes/s", "ms/s"]
-    return table(f"{program}: the counter, a hollow gateway", columns, rows)
+def counter(result: Result) -> Table:
+    keys = ("requests", "served", "calls_a_request", "counter_bytes_per_s", "cpu_ms_per_s", "rss_mb")
+    rows = [[name, *(case[key] for key in keys)] for name, case in cases(result, "counter")]
+    columns = ["customers", "requests", "served", "calls a request", "bytes/s", "ms/s", "MB"]
+    return table("The counter, a hollow gateway", columns, rows)
--- a/scale/keeper.py
+++ b/scale/keeper.py
@@ -17,7 +17,6 @@
 
 START_S = 60.0
 SERVES = re.compile(r"serves at [\d.]+:(\d+)")
-LINES = 20  # of a gateway's log, the last ones
 
 
 class Keeper:
@@ -45,7 +44,7 @@
             stderr=asyncio.subprocess.PIPE,
         )
         self.processes.append(process)
-        log: deque[str] = deque(maxlen=LINES)
+        log: deque[str] = deque(maxlen=1)
         self.logs.append(log)
         port: asyncio.Future[int] = asyncio.get_running_loop().create_future()
         self.reading.append(asyncio.create_task(self._read(process, log, port)))
@@ -61,15 +60,20 @@
             if not port.done() and (said := SERVES.search(log[-1])):
                 port.set_result(int(said[1]))
         if not port.done():
-            port.set_exception(RunProblem("a gateway ended at its start: " + " | ".join(log)))
+            port.set_exception(RunProblem(f"a gateway ended at its start: {said_last(log)}"))
 
-    async def gone(self) -> list[str]:
-        """The last lines of each gateway that has ended."""
-        pairs = zip(self.processes, self.logs, strict=True)
-        return [" | ".join(log) for process, log in pairs if process.returncode is not None]
+    async def check(self) -> None:
+        """RunProblem where a gateway has ended, with the last line of its log."""
+        for process, log in zip(self.processes, self.logs, strict=True):
+            if process.returncode is not None:
+                raise RunProblem(f"a gateway ended with {process.returncode}: {said_last(log)}")
 
     def close(self) -> None:
         for process in self.processes:
             with contextlib.suppress(ProcessLookupError):
                 process.kill()
         self.folder.cleanup()
+
+
+def said_last(log: deque[str]) -> str:
+    return log[-1] if log else "it said nothing"
--- a/scale/machine.py
+++ b/scale/machine.py
@@ -13,8 +13,8 @@
 
 SHARE = 0.5  # of the memory, at most
 MOST_PROCESSES = 300
-PROCESS_MB = 45.0  # of a process with the program in it and no list, with room to spare
-BACKEND_KB = 1.6  # of a gateway, for a listed backend
+PROCESS_MB = 35.0  # of a process with the program in it and no list, with room to spare
+BACKEND_KB = 1.25  # of a gateway, for a listed backend
 CUSTOMER_KB = 2.0  # of a gateway, for a customer it serves
 HOST_KB = 1.5  # of the discovery stand-in, for a listed backend
 LIST_KB = 0.14  # of a listed backend, on the wire
--- a/scale/quickstart.py
+++ b/scale/quickstart.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import asdict, dataclass
+from dataclasses import dataclass
 from pathlib import Path
 
 from rich.console import Console
@@ -36,7 +36,7 @@
         machine.check(self.gateways * a_gateway + others, self.gateways + 5)
 
     async def run(self, progress: Console) -> Result:
-        result = Result("quickstart", asdict(self), machine=machine.facts())
+        result = Result.of("quickstart", self, [self.program])
         async with Children() as children:
             world = await World.start(children, self.backends, self.seed, LATENCY_MS, self.stall)
             configs = [world.config(index, self.gateways) for index in range(self.gateways)]
--- a/scale/report.py
+++ b/scale/report.py
@@ -6,16 +6,20 @@
 import os
 import tempfile
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
 from pathlib import Path
+from string import ascii_uppercase
 from typing import Any
 
 from rich.console import Console
 from rich.table import Table
 
 from .errors import RunProblem, UsageProblem
+from .machine import facts
+from .program import commit
 
 LATE_P99_MS, LATE_MAX_MS = 20.0, 250.0  # a stand-in later than this has measured itself
+MET = {True: "yes", False: "NO", None: "-"}
 NO_GOALS = "no goal figure was measured"
 
 
@@ -40,11 +44,22 @@
 
     scenario: str
     asked: dict[str, Any]
+    programs: dict[str, str]  # the checkouts that are measured, and their commits
     measured: dict[str, Any] = field(default_factory=dict)
     goals: dict[str, list[Goal]] = field(default_factory=dict)  # by the program they were measured on
     lags: dict[str, dict[str, float]] = field(default_factory=dict)
     machine: dict[str, Any] = field(default_factory=dict)
 
+    @classmethod
+    def of(cls, scenario: str, asked: Any, programs: Sequence[str]) -> Result:
+        """The result of a run that begins, as `asked` (a dataclass) says."""
+        named = {program: commit(program) for program in programs}
+        return cls(scenario, asdict(asked), named, machine=facts())
+
+    def label(self, program: str) -> str:
+        """What tells a program from the others in a table: a letter, and nothing where there is one only."""
+        return f" {ascii_uppercase[list(self.programs).index(program)]}" if len(self.programs) > 1 else ""
+
     def late(self, where: str, lag: dict[str, float]) -> None:
         """Note how late a stand-in ran; of several notes under one name the latest counts."""
         known = self.lags.get(where)
@@ -75,6 +90,7 @@
         return {
             "scenario": self.scenario,
             "asked": self.asked,
+            "programs": self.programs,
             "machine": self.machine,
             "measured": self.measured,
             "goals": {
@@ -121,7 +137,9 @@
 
 
 def three(values: dict[str, float]) -> str:
-    """A median, with the least and the most beside it."""
+    """A median, with the least and the most beside it where they differ."""
+    if values["min"] == values["max"]:
+        return number(values["median"])
     return f"{number(values['median'])} ({number(values['min'])} to {number(values['max'])})"
 
 
@@ -136,17 +154,18 @@
 
 def show(console: Console, result: Result, *tables: Table) -> None:
     """Print the tables of a run, its goals, and its verdict or why there is none."""
+    for program, named in result.programs.items():
+        console.print(f"Program{result.label(program)}: {program} {named}".rstrip())
     for made in tables:
         console.print(made)
     rows = [
-        (goal.what, goal.unit, goal.most, goal.measured, {True: "yes", False: "NO", None: "-"}[goal.met])
-        + ((program,) if len(result.goals) > 1 else ())
+        (goal.what + result.label(program), goal.unit, goal.most, goal.measured, MET[goal.met])
         for program, goals in result.goals.items()
         for goal in goals
+        if goal.measured is not None
     ]
     if rows:
-        columns = ["goal", "unit", "at most", "measured", "met", "program"]
-        console.print(table("Goals", columns[: len(rows[0])], rows))
+        console.print(table("Goals", ["goal", "unit", "at most", "measured", "met"], rows))
     reason = result.why_no_verdict()
     if reason != NO_GOALS:
         console.print(f"No verdict: {reason}." if reason else f"Verdict: {result.verdict()}.")
--- a/scale/world.py
+++ b/scale/world.py
@@ -26,6 +26,7 @@
     counter: int
     seed: int
     stall: float  # milliseconds for which discovery's process is held up in each measured part
+    keeper: Child | None = None  # of the real gateways
 
     @classmethod
     async def start(
@@ -50,8 +51,8 @@
 
     async def gateways(self, program: Path, configs: list[dict[str, Any]]) -> list[dict[str, int]]:
         """Start real gateways of a checkout; gives `pid` and `port` of each."""
-        keeper = await self.children.start("keeper")
-        started: list[dict[str, int]] = await keeper.call(
+        self.keeper = await self.children.start("keeper")
+        started: list[dict[str, int]] = await self.keeper.call(
             "start", program=str(program), configs=configs, within=START_S
         )
         return started
@@ -71,11 +72,16 @@
         return [child for child in (self.surroundings, self.backends, *others) if child is not None]
 
     async def read(self, result: Result, where: str, *others: Child) -> dict[str, Any]:
-        """Bytes and calls at discovery and the counter since `begin`; lateness goes to the result."""
+        """Bytes and calls at discovery and the counter since `begin`; lateness goes to the result.
+
+        RunProblem where a real gateway has ended meanwhile.
+        """
         read: dict[str, Any] = {}
         for child in self._standins(*others):
             got = await child.call("read")
             parts = [name for name in got if name != "lag"] or [child.role]
             result.late(f"{' and '.join(parts)}, {where}", got["lag"])
             read.update(got)
+        if self.keeper is not None:
+            await self.keeper.call("check")
         return read
--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,227 @@
+"""The scale runs: what a run gives, what it refuses, and that nothing of it is left."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import os
+import shutil
+import signal
+import subprocess
+import sys
+import time
+import uuid
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import psutil
+import pytest
+
+from scale.catalog import Catalog
+from scale.report import Goal, Result
+from scale.settings import Customers
+
+ROOT = Path(__file__).parents[1]
+FLEET = (
+    "fleet --hollow 4 --processes 2 --real 1 --backends 40 --seconds 0.5 --bursts 20 --window 0.5"
+    " --customers 1000 --spread 3,30 --fleet 100 --rate 50"
+).split()
+
+
+class Run:
+    """`python -m scale`, and the processes that bear its mark."""
+
+    def __init__(self, *args: str) -> None:
+        self.mark = uuid.uuid4().hex
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "scale", *args],
+            cwd=ROOT,
+            env={**os.environ, "SCALE_TEST_MARK": self.mark},
+            stdout=subprocess.PIPE,
+            stderr=subprocess.PIPE,
+            text=True,
+        )
+
+    def left(self) -> list[psutil.Process]:
+        """All processes of the run that live, however they came to be."""
+        found = []
+        for process in psutil.process_iter():
+            with contextlib.suppress(psutil.Error):
+                if process.environ().get("SCALE_TEST_MARK") == self.mark:
+                    found.append(process)
+        return [process for process in found if process.pid != os.getpid()]
+
+    def up(self) -> list[psutil.Process]:
+        """Wait for the line that says that all is up; gives the processes."""
+        assert self.process.stderr is not None
+        assert any(line.startswith("all is up") for line in self.process.stderr)
+        return self.left()
+
+    def gone(self) -> None:
+        """Wait until nothing is left; the test's time limit ends a vain wait."""
+        while self.left():
+            time.sleep(0.02)
+
+    def finish(self) -> tuple[str, str]:
+        out, errors = self.process.communicate()
+        return out, errors
+
+
+@contextlib.contextmanager
+def started(*args: str) -> Iterator[Run]:
+    run = Run(*args)
+    try:
+        yield run
+    finally:
+        for process in run.left():
+            with contextlib.suppress(psutil.Error):
+                process.kill()
+        run.process.wait()
+
+
+def result_of(folder: Path, *args: str) -> tuple[dict[str, Any], str]:
+    """A whole run's result and what it printed; nothing of it may be left at its end."""
+    file = folder / "result.json"
+    with started(*args, "--json", str(file)) as run:
+        out, errors = run.finish()
+        assert run.process.returncode == 0, errors
+        assert not run.left()
+    result: dict[str, Any] = json.loads(file.read_text())
+    return result, out
+
+
+def test_a_fleet_serves_and_all_gateways_take_each_change(tmp_path: Path) -> None:
+    result, out = result_of(tmp_path, *FLEET)
+    (measured,) = result["measured"].values()
+    assert set(measured["in_force"]) == {"even changes", "burst of 20"}
+    for case in measured["in_force"].values():
+        assert case["gateways"] == 4 and case["changes"] > 0 and case["missing"] == 0
+        assert 0 < case["half_ms"]["median"] <= case["slowest_ms"]["max"]
+    assert all(case["served"] > 0 for case in measured["requests"].values())
+    leased, shared = measured["counter"].values()
+    assert 0 < leased["calls_a_request"] and 0 < shared["calls_a_request"]
+    assert leased["served"] > 0 and shared["served"] > 0
+    assert result["verdict"] in ("met", "not met", None) and "at 99 in 100" in out
+
+
+def test_stand_ins_that_ran_late_give_no_verdict(tmp_path: Path) -> None:
+    result, out = result_of(tmp_path, *FLEET, "--stall", "400")
+    (goals,) = result["goals"].values()
+    assert goals[0]["met"] is not None
+    assert result["verdict"] is None and "ran late" in result["reason"] and "No verdict" in out
+
+
+def test_one_run_measures_two_checkouts(tmp_path: Path) -> None:
+    other = tmp_path / "other"
+    for part in ("mintford", "roadpulley"):
+        shutil.copytree(ROOT / part, other / part, ignore=shutil.ignore_patterns("__pycache__"))
+    slower = other / "roadpulley" / "driver.py"
+    slow = "    def members(self, scope: api.ListScope, members: tuple[Member, ...]) -> None:\n"
+    assert slow in slower.read_text()
+    slower.write_text(slower.read_text().replace(slow, slow + "        sum(range(2_000_000))\n"))
+    sizes = "--backends 40 --customers 1000 --fleet 10 --alone 2 --burst 5 --steady 0.2 --repeats 1"
+    result, out = result_of(
+        tmp_path,
+        "control",
+        *sizes.split(),
+        "--changes",
+        "10",
+        "--program",
+        str(ROOT),
+        "--program",
+        str(other),
+    )
+    here, there = (result["measured"][str(program)] for program in (ROOT, other))
+    assert here["40"]["one_cpu_ms"]["median"] * 5 < there["40"]["one_cpu_ms"]["median"]
+    assert here["40"]["start_bytes"]["median"] == there["40"]["start_bytes"]["median"] > 0
+    assert here["40"]["burst_hold_ms"]["median"] > 0 and not here["40"]["unfinished"]
+    assert "40 A" in out and "40 B" in out
+    assert not list(other.rglob("__pycache__"))  # a checkout that is measured is not written to
+
+
+@pytest.mark.parametrize(
+    ("args", "said"),
+    [
+        (["no-such-scenario"], "No such command"),
+        (["fleet", "--hollow", "3000", "--backends", "39000"], "memory"),
+        (["quickstart", "--gateways", "400", "--backends", "1"], "memory"),
+        (["fleet", "--hollow", "200", "--fleet", "100"], "more than the fleet"),
+        (["control", "--backends", "200,x"], "not a list of numbers"),
+        (["control", "--backends", "0"], "whole numbers"),
+        (["quickstart", "--json", "/no/such/folder/result.json"], "cannot be written"),
+        (["quickstart", "--program", "/"], "no checkout"),
+        (["quickstart", "--seconds", "-1"], "--seconds"),
+    ],
+)
+def test_what_cannot_be_run_is_said_plainly(args: list[str], said: str) -> None:
+    with started(*args) as run:
+        out, errors = run.finish()
+    assert run.process.returncode == 2 and said in errors and "Traceback" not in errors and not out
+
+
+@pytest.mark.parametrize("signum", [signal.SIGINT, signal.SIGTERM])
+def test_an_interrupted_run_leaves_no_process(signum: signal.Signals) -> None:
+    with started("quickstart", "--seconds", "600") as run:
+        assert len(run.up()) >= 7  # itself, two of stand-ins, the keeper and its three gateways
+        run.process.send_signal(signum)
+        _, errors = run.finish()
+        assert not run.left()
+    assert run.process.returncode == 130 and "Traceback" not in errors
+
+
+def test_processes_end_with_a_parent_that_was_killed() -> None:
+    with started("quickstart", "--seconds", "600") as run:
+        run.up()
+        run.process.kill()
+        run.gone()
+
+
+def test_a_gateway_that_cannot_start_fails_the_run(tmp_path: Path) -> None:
+    for part in ("mintford", "roadpulley"):
+        (tmp_path / part).mkdir()
+        (tmp_path / part / "__init__.py").touch()
+    (tmp_path / "roadpulley" / "__main__.py").write_text("raise SystemExit('not today')")
+    with started("quickstart", "--program", str(tmp_path)) as run:
+        _, errors = run.finish()
+        assert not run.left()
+    assert run.process.returncode == 1 and "a gateway ended at its start: not today" in errors
+    assert "Traceback" not in errors
+
+
+def verdict(
+    measured: float | None, p99_ms: float = 1.0, max_ms: float = 2.0, cut: bool = False
+) -> str | None:
+    result = Result("control", {}, {})
+    result.goals["."] = [Goal("one change", "ms", 0.1, measured, cut), Goal("a list", "ms", 5.0, None)]
+    result.late("discovery", {"p99_ms": p99_ms, "max_ms": max_ms})
+    assert (result.verdict() is None) == bool(result.why_no_verdict())
+    return result.verdict()
+
+
+def test_verdicts() -> None:
+    assert verdict(0.1) == "met" and verdict(0.11) == "not met"
+    assert verdict(0.05, cut=True) == "not met"  # it took at least that
+    assert verdict(None) is None
+    assert verdict(0.05, p99_ms=20.1) is None and verdict(0.05, max_ms=251.0) is None
+
+
+def test_each_host_changes_once_before_any_changes_again() -> None:
+    catalog = Catalog(10, [1], seed=1)
+    line, hosts = catalog.change(100)
+    told = json.loads(line)
+    assert [host["host"] for host in told["hosts"]] == hosts and len(set(hosts)) == 9
+    assert told["seq"] == 2 and not told["whole"]
+    assert {host["health"] for host in told["hosts"]} == {"draining"}
+    catalog.change(9)
+    assert len(json.loads(catalog.whole())["hosts"]) == 1  # the others are removed, and not listed
+    _, (marker,) = catalog.change_marker()
+    assert marker not in hosts
+
+
+def test_customers_come_to_gateways_of_their_sets_only() -> None:
+    customers = Customers(1_000, gateways=10, spread=3, seed=1)
+    for gateway in range(10):
+        picked = {customers.pick(gateway) for _ in range(2_000)}
+        assert all((gateway - first) % 10 < 3 and number % 10 == first for number, first in picked)
+        assert len(picked) == pytest.approx(300, abs=5)
