Scale: discovery and the counter in processes of their own

So the lateness of one is not that of the other, and thousands of gateways fit a process's descriptors.

--- a/scale/control.py
+++ b/scale/control.py
@@ -131,7 +131,7 @@
 
     async def _spell(self, bench: Bench, column: Column, spell: Steady, result: Result) -> None:
         await bench.world.begin()
-        told = bench.world.surroundings.call("tell_evenly", rate=spell.changes, seconds=self.steady)
+        told = bench.world.discovery.call("tell_evenly", rate=spell.changes, seconds=self.steady)
         rate = self.requests if spell.customers else 0.0
         work = bench.child.call("steady", requests=rate, seconds=self.steady, within=self.steady + CALL_S)
         taken, _ = await asyncio.gather(work, told)
@@ -248,7 +248,7 @@
         return await self.world.read(self.result, self.where)
 
     async def call(self, do: str, **given: Any) -> Any:
-        return await self.world.surroundings.call(do, **given)
+        return await self.world.discovery.call(do, **given)
 
     async def _begin(self) -> None:
         await self.world.begin()
--- a/scale/fleet.py
+++ b/scale/fleet.py
@@ -56,9 +56,11 @@
         )
         a_process = machine.PROCESS_MB + machine.reading_mb(self.backends)
         needed = (self.hollow + self.real) * state + (self.processes + self.real) * a_process
-        needed += 5 * machine.PROCESS_MB + machine.discovery_mb(self.backends, self.hollow + self.real)
+        needed += machine.OTHERS * machine.PROCESS_MB + machine.discovery_mb(
+            self.backends, self.hollow + self.real
+        )
         files = (self.hollow + self.real) * machine.FILES
-        machine.check(needed, self.processes + self.real + 5, files)
+        machine.check(needed, self.processes + self.real + machine.OTHERS, files)
 
     async def run(self, progress: Console) -> Result:
         """Measure the fleet of each program, one after another. RunProblem where a process fails."""
@@ -162,7 +164,7 @@
     async def _work(self, seconds: float, changes: float) -> dict[str, Any]:
         """Even work, under load: what each hollow gateway takes, what clients notice, what was told."""
         await self._begin()
-        tell = self.world.surroundings.call(
+        tell = self.world.discovery.call(
             "tell_evenly", rate=changes, seconds=seconds, within=seconds + CALL_S
         )
         told, requests = await asyncio.gather(tell, self._requests(seconds))
@@ -180,11 +182,11 @@
 
     async def _burst(self, size: int) -> tuple[dict[str, Any], Any]:
         """A burst in one message while clients ask: when it was in force, and what they noticed."""
-        burst = await self.world.surroundings.call("prepare", counts=[size], marked=False)
+        burst = await self.world.discovery.call("prepare", counts=[size], marked=False)
         await self._begin()
         requests = asyncio.ensure_future(self._requests(self.asked.window))
         await asyncio.sleep(BEFORE_S)
-        told = await self.world.surroundings.call("tell", number=burst)
+        told = await self.world.discovery.call("tell", number=burst)
         in_force = await self._in_force([told])
         noticed = await requests
         await self._read()
--- a/scale/machine.py
+++ b/scale/machine.py
@@ -13,6 +13,7 @@
 
 SHARE = 0.5  # of the memory, at most
 MOST_PROCESSES = 300
+OTHERS = 6  # beside the gateways: the parent, three of stand-ins, the clients, the keeper of real gateways
 PROCESS_MB = 35.0  # of a process with the program in it and no list, with room to spare
 BACKEND_KB = 1.25  # of a gateway, for a listed backend
 CUSTOMER_KB = 2.0  # of a gateway, for a customer it serves
@@ -20,7 +21,7 @@
 LIST_KB = 0.14  # of a listed backend, on the wire
 READING = 12.0  # whole lists' worth of bytes that a process holds while it reads one
 SPARE_FILES = 64
-FILES = 8  # descriptors of a hollow gateway: its watch and its connections to the counter
+FILES = 4  # descriptors of the counter for a gateway, which are more than those of discovery
 
 
 def gateway_mb(backends: int, customers: float) -> float:
--- a/scale/quickstart.py
+++ b/scale/quickstart.py
@@ -32,8 +32,8 @@
         """UsageProblem for sizes that this machine has no room for."""
         a_gateway = machine.PROCESS_MB + machine.gateway_mb(self.backends, self.customers)
         a_gateway += machine.reading_mb(self.backends)
-        others = machine.discovery_mb(self.backends, self.gateways) + 5 * machine.PROCESS_MB
-        machine.check(self.gateways * a_gateway + others, self.gateways + 5)
+        others = machine.discovery_mb(self.backends, self.gateways) + machine.OTHERS * machine.PROCESS_MB
+        machine.check(self.gateways * a_gateway + others, self.gateways + machine.OTHERS)
 
     async def run(self, progress: Console) -> Result:
         """Start all, send the requests and count. RunProblem where a process fails."""
--- a/scale/world.py
+++ b/scale/world.py
@@ -20,10 +20,11 @@
     """The stand-ins of a run, each a process; ports are on the loopback address."""
 
     children: Children
-    surroundings: Child  # discovery and the counter
+    discovery: Child
+    counter: Child
     backends: Child | None
-    discovery: int
-    counter: int
+    discovery_port: int
+    counter_port: int
     seed: int
     stall: float  # milliseconds for which discovery's process is held up in each measured part
     keeper: Child | None = None  # of the real gateways
@@ -36,18 +37,18 @@
 
         Without a latency nothing listens where the listed backends are said to be.
         """
-        surroundings = await children.start("standins")
+        told, tally = await children.start("standins"), await children.start("standins")
         machines, ports = None, [CLOSED]
         if latency is not None:
             machines = await children.start("standins")
             ports = await machines.call("start_backends", ports=min(PORTS, backends), latency=latency)
-        discovery = await surroundings.call("start_discovery", backends=backends, ports=ports, seed=seed)
-        counter = await surroundings.call("start_counter")
-        return cls(children, surroundings, machines, discovery, counter, seed, stall)
+        discovery = await told.call("start_discovery", backends=backends, ports=ports, seed=seed)
+        counter = await tally.call("start_counter")
+        return cls(children, told, tally, machines, discovery, counter, seed, stall)
 
     def config(self, index: int, gateways: int) -> dict[str, Any]:
         """The configuration of gateway `index` of a fleet of `gateways`."""
-        return gateway_config(index, gateways, self.discovery, self.counter, self.seed)
+        return gateway_config(index, gateways, self.discovery_port, self.counter_port, self.seed)
 
     async def gateways(self, program: Path, configs: list[dict[str, Any]]) -> list[dict[str, int]]:
         """Start real gateways of a checkout; gives `pid` and `port` of each."""
@@ -59,17 +60,18 @@
 
     async def watched(self, count: int) -> None:
         """Wait until so many gateways watch the list."""
-        await self.surroundings.call("watches", wanted=count, within=START_S)
+        await self.discovery.call("watches", wanted=count, within=START_S)
 
     async def begin(self, *others: Child) -> None:
         """What is measured begins."""
         for child in self._standins(*others):
             await child.call("begin")
         if self.stall:
-            await self.surroundings.call("stall", ms=self.stall)
+            await self.discovery.call("stall", ms=self.stall)
 
     def _standins(self, *others: Child) -> list[Child]:
-        return [child for child in (self.surroundings, self.backends, *others) if child is not None]
+        standins = (self.discovery, self.counter, self.backends, *others)
+        return [child for child in standins if child is not None]
 
     async def read(self, result: Result, where: str, *others: Child) -> dict[str, Any]:
         """Bytes and calls at discovery and the counter since `begin`; lateness goes to the result.
@@ -79,8 +81,8 @@
         read: dict[str, Any] = {}
         for child in self._standins(*others):
             got = await child.call("read")
-            parts = [name for name in got if name != "lag"] or [child.role]
-            result.late(f"{' and '.join(parts)}, {where}", got["lag"])
+            parts = [name for name in got if name != "lag"] or ["clients"]
+            result.late(f"{parts[0]}, {where}", got["lag"])
             read.update(got)
         if self.keeper is not None:
             await self.keeper.call("check")
