--- a/scale/control.py
+++ b/scale/control.py
@@ -60,7 +60,8 @@
     def check(self) -> None:
         """UsageProblem for sizes that this machine has no room for."""
         most = max(self.backends)
-        state = machine.gateway_mb(most, max(self.customers) * self.spread / self.fleet)
+        met = sum(min(n * self.spread / self.fleet, self.requests * self.steady) for n in self.customers)
+        state = machine.gateway_mb(most, met)
         here = state + machine.reading_mb(most) + machine.discovery_mb(most, 1) + 4 * machine.PROCESS_MB
         machine.check(here, 4)
 
--- a/scale/fleet.py
+++ b/scale/fleet.py
@@ -51,9 +51,11 @@
     def check(self) -> None:
         """UsageProblem for sizes that this machine has no room for, or for more gateways than the fleet."""
         machine.check_fleet(self.hollow + self.real, self.fleet)
-        state = machine.gateway_mb(
-            self.backends, max(self.customers) * max(self.spread) / self.fleet * len(self.spread)
+        met = sum(
+            min(customers * spread / self.fleet, self.requests * self.seconds)
+            for customers, spread in product(self.customers, self.spread)
         )
+        state = machine.gateway_mb(self.backends, met)
         a_process = machine.PROCESS_MB + machine.reading_mb(self.backends)
         needed = (self.hollow + self.real) * state + (self.processes + self.real) * a_process
         needed += machine.OTHERS * machine.PROCESS_MB + machine.discovery_mb(
--- a/scale/hollow.py
+++ b/scale/hollow.py
@@ -64,7 +64,7 @@
     """One hollow gateway. `heard` notes when each message of the list had been taken."""
 
     def __init__(self, raw: dict[str, Any], after: Callable[[], None] | None = None) -> None:
-        """`raw` is the configuration; `after` is called whenever a message has been taken."""
+        """`raw` is the configuration, without a known list; `after` is called after each message."""
         loop, config = asyncio.get_running_loop(), parse_config(raw)
         settings = config.settings
         self.index, self.after = settings.index, after
@@ -88,12 +88,13 @@
         self.calls: list[tuple[float, Any]] = []  # when a message had been taken, and its members
         self.seen: dict[int, list[float]] = {}  # by backend, what of `calls` has been looked at
         self.ids = itertools.count(1)
-        self.given = self.served = 0
+        self.given = self.served = self.messages = 0
         self.watch: asyncio.Task[None] | None = None
 
     def heard(self, *args: Any, **kwargs: Any) -> None:
         self.driver.members(*args, **kwargs)
         if args[0] is ListScope.CHANGES:
+            self.messages += 1
             self.calls.append((time.monotonic(), args[1]))
         if self.after is not None:
             self.after()
@@ -115,7 +116,7 @@
         """Forget what was taken and given so far."""
         self.calls.clear()
         self.seen.clear()
-        self.given = self.served = 0
+        self.given = self.served = self.messages = 0
 
     def in_force(self, backend: int, told_at: float) -> float | None:
         """When a change told at some time had been taken, both in seconds (monotonic); None: not yet."""
--- a/scale/machine.py
+++ b/scale/machine.py
@@ -15,6 +15,7 @@
 MOST_PROCESSES = 300
 OTHERS = 6  # beside the gateways: the parent, three of stand-ins, the clients, the keeper of real gateways
 PROCESS_MB = 35.0  # of a process with the program in it and no list, with room to spare
+GATEWAY_MB = 0.5  # of a gateway without a list
 BACKEND_KB = 1.25  # of a gateway, for a listed backend
 CUSTOMER_KB = 2.0  # of a gateway, for a customer it serves
 HOST_KB = 1.5  # of the discovery stand-in, for a listed backend
@@ -25,8 +26,8 @@
 
 
 def gateway_mb(backends: int, customers: float) -> float:
-    """Megabytes of a gateway's control state, about and rather too many."""
-    return 1.0 + (backends * BACKEND_KB + customers * CUSTOMER_KB) / 1024
+    """Megabytes of a gateway's control state, about and rather too many; `customers` it meets."""
+    return GATEWAY_MB + (backends * BACKEND_KB + customers * CUSTOMER_KB) / 1024
 
 
 def reading_mb(backends: int) -> float:
--- a/scale/measured.py
+++ b/scale/measured.py
@@ -108,10 +108,18 @@
         end = time.monotonic() + patience
         while not self.marked and time.monotonic() < end:
             await asyncio.sleep(POLL_S)
+            self._look()
         if self.marked:
             await asyncio.sleep(SETTLE_S)
         return self._taken(self.marked)
 
+    def _look(self) -> None:
+        """Once nothing more comes, look for the marker in all that came."""
+        assert self.gateway is not None
+        calls = self.gateway.calls
+        if not self.marked and calls and time.monotonic() - calls[-1][0] > SETTLE_S:
+            self.marked = self.gateway.in_force(self.marker, 0.0) is not None
+
     async def steady(self, requests: float, seconds: float) -> dict[str, Any]:
         """Give so many requests a second for so many seconds; gives what all control work took meanwhile."""
         assert self.gateway is not None
@@ -123,7 +131,7 @@
     def _taken(self, done: bool) -> dict[str, Any]:
         cpu_ms = (time.process_time() - self.cpu) * 1000
         assert self.gateway is not None
-        taken: dict[str, Any] = {"done": done, "messages": len(self.gateway.calls)}
+        taken: dict[str, Any] = {"done": done, "messages": self.gateway.messages}
         if self.ticker is None:
             pairs = zip(self.stamps, self.stamps[1:], strict=False)
             return {**taken, "cpu_ms": cpu_ms, "each_ms": [(b - a) * 1000 for a, b in pairs]}
--- a/scale/settings.py
+++ b/scale/settings.py
@@ -70,7 +70,3 @@
         if here:
             number = self.gateways * self.chance.randrange(here)
         return self.base + number + first, first
-
-    def at_one(self) -> float:
-        """How many customers each gateway serves, on the mean."""
-        return self.customers * self.spread / self.gateways
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -163,7 +163,9 @@
 @pytest.mark.parametrize("signum", [signal.SIGINT, signal.SIGTERM])
 def test_an_interrupted_run_leaves_no_process(signum: signal.Signals) -> None:
     with started("quickstart", "--seconds", "600") as run:
-        assert len(run.up()) >= 9  # itself, three of stand-ins, the clients, the keeper and its three gateways
+        assert (
+            len(run.up()) >= 9
+        )  # itself, three of stand-ins, the clients, the keeper and its three gateways
         run.process.send_signal(signum)
         _, errors = run.finish()
         assert not run.left()
