Measure a choice with failing attempts, and hold the slopes' probes to what they say

tests/test_slopes.py found at once that the probe with failures let 78 requests pile up where it says 20: one was ended for each new one, however many further attempts there were.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -243,35 +243,40 @@
 
 
 def pick() -> None:
-    """A choice of a backend, and a request with all its events, by the size of the slice."""
+    """A choice of a backend, and a request with all its events, by the size of the slice and what fails."""
     print("A choice and a request, by the backends in a gateway's slice; 20 requests are out")
-    head("backends in the slice", "us a choice", "us a request")
+    head("backends in the slice", "attempts that fail", "us a choice", "us a request")
     for size in (8, 12, 38, 76, 152):
-        busy = Busy(size)
-        busy.serve(2_000)
-        whole = least(partial(busy.serve, 1_000)) / 1_000
-        row(size, least(partial(busy.choose, 1_000)) / 1_000, whole)
+        for failing in (0.0, 0.05):
+            busy = Busy(size, failing)
+            busy.serve(2_000)
+            whole = least(partial(busy.serve, 1_000)) / 1_000
+            row(size, failing, least(partial(busy.choose, 1_000)) / 1_000, whole)
 
 
 class Busy:
     """A gateway at 270 requests a second, whose slice is all that it is told of."""
 
-    def __init__(self, size: int) -> None:
-        self.gateway, self.now, self.out = Gateway(settings(), 1), START, deque[tuple[str, int]]()
+    def __init__(self, size: int, failing: float) -> None:
+        self.gateway, self.now, self.out = Gateway(settings(), 1), START, deque[tuple[str, int, int]]()
+        self.failing, self.chance = failing, random.Random(1)
         self.gateway.handle(START, api.BackendsChanged(api.ListScope.FULL, entries(size)))
 
     def serve(self, number: int) -> None:
         for _ in range(number):
             self.now += 1000 / 270
             request = f"{int(self.now * 10):016x}"
-            arrived = api.RequestArrived(request, VIEW.name, "free", "c", self.now + 2_500, 1.0, 1, 0)
-            for action in self.gateway.handle(self.now, arrived):
-                if isinstance(action, api.Send):
-                    self.out.append((request, action.backend))
-            if len(self.out) > 20:
-                first, backend = self.out.popleft()
-                ended = api.AttemptEnded(first, 0, backend, api.Outcome.OK, 75.0, True)
-                self.gateway.handle(self.now, ended)
+            self.give(api.RequestArrived(request, VIEW.name, "free", "c", self.now + 2_500, 1.0, 1, 0), 0)
+            while len(self.out) > 20:
+                first, attempt, backend = self.out.popleft()
+                ok = self.chance.random() >= self.failing
+                outcome = api.Outcome.OK if ok else api.Outcome.FAILED
+                self.give(api.AttemptEnded(first, attempt, backend, outcome, 75.0, ok), attempt + 1)
+
+    def give(self, event: api.Event, attempt: int) -> None:
+        for action in self.gateway.handle(self.now, event):
+            if isinstance(action, api.Send):
+                self.out.append((action.request, attempt, action.backend))
 
     def choose(self, number: int) -> None:
         """As for a request that has not been sent anywhere."""
