Read all that a client has said before an attempt begins for it

Seen: a client that has left is known only when the event loop gets to read its end. Where the process was held up, or many events came in one turn, a timer, a counter's reply, a failed attempt or the request itself is handled before that, and an attempt begins for nobody more than 0.1 s after the close; with a burst of clients, many at once. Checked: libuv runs due timers after the events of a turn and takes the rest in the order in which they became ready. Ruled out: a peek for the end, which does not see past unread requests. At fault: Driver.send went by its own record alone, and so did Connection._came_up for an attempt that had waited for its connection.

Driver.send and Connection._came_up now let the client's connection read until nothing is left (64 reads at most, and not again within 20 ms), which closes it if its end is there. Also: an attempt that is not made for such a client was told by the number 0, so that the module held its own to be out for ever; Driver.left keeps the number until the module has heard.

Taken out, the tests fail: in send with "[b'before', b'0', b'after'] == [b'before', b'after']" (all eight crossings), at the coming up with "b'*' == b''", without Driver.left with ('r1', 0, True) in the place of ('r1', 1, True).

--- a/roadpulley/backends.py
+++ b/roadpulley/backends.py
@@ -82,6 +82,7 @@
     expires: float  # when the client gives up
     ended: Callable[[Attempt, Outcome, bytes], None]
     latest: float = math.inf  # when its first byte may be written at the latest
+    look: Callable[[], None] | None = None  # gives it up if its client has left
     connection: Connection | None = None
     timer: Timer | None = None  # of its time-out
     over: bool = False
@@ -141,7 +142,10 @@
             return self.end(Outcome.CONNECT)
         self.up = True
         self.pool.loop.add_reader(self.fd, self._readable)
-        self.write()
+        if self.attempt is not None and self.attempt.look is not None:
+            self.attempt.look()
+        if not self.closed:
+            self.write()
 
     def start(self, attempt: Attempt) -> None:
         self.age = now_ms() - self.idle_since
--- a/roadpulley/clients.py
+++ b/roadpulley/clients.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import math
 import re
 import socket
 from collections import Counter as Tally
@@ -36,6 +37,8 @@
 IDLE_MS = 30_000.0  # unused for this long: closed
 YOUNG_MS = 100.0  # in which a new connection is let say something, however short room is
 RETRY_MS = 20.0  # until there may be room, or a descriptor, again
+LOOK_MS = 20.0  # a client that had not left so short ago need not be looked at again
+MOST_READS = 64  # of one look: a client that never stops must not hold up all others
 HARMLESS = {b"CLIENT", b"SELECT"}  # commands of connection set-up
 VERBS = {b"API.READ": True, b"API.WRITE": False}  # whether it serves the classes that are safe to repeat
 
@@ -166,6 +169,9 @@
             self.answered, self.reply, self.request = True, reply, None
             self.connection.pump()
 
+    def look(self) -> None:
+        self.connection.look()
+
 
 class Handler(Protocol):
     def on_command(self, command: Command, slot: Slot) -> None: ...
@@ -183,6 +189,7 @@
         self.reading = self.writing = self.closing = self.closed = self.pumping = self.unread = False
         self.used_at = self.moved_at = now_ms()  # moved: answers were last taken by the client
         self.due: float | None = self.used_at + WHOLE_MS  # of a command that is owed; None: between commands
+        self.dry_at = -math.inf  # when all had been read that had come
         self._throttle()
 
     # ---- from the event loop ----
@@ -196,6 +203,7 @@
         try:
             count = self.socket.recv_into(self.server.buffer)
         except (BlockingIOError, InterruptedError):
+            self.dry_at = now_ms()
             return False
         except OSError:
             count = 0
@@ -206,6 +214,22 @@
             self.unread = True
         return count > 0
 
+    def look(self) -> None:
+        """Read all that has come, to see whether the client has left.
+
+        The event loop tells of it in a turn of its own order: where this process was held up, timers, the
+        counter's replies and backends' answers may all come before it.
+        """
+        if now_ms() - self.dry_at < LOOK_MS:
+            return
+        got = False
+        for _ in range(MOST_READS):
+            if not self.reads_on or not self._read():
+                break
+            got = True
+        if got:
+            self.pump()
+
     def _writable(self) -> None:
         self._send()
         self.pump()
@@ -290,10 +314,15 @@
             else:
                 self.server.loop.remove_writer(self.fd)
 
-    def _throttle(self) -> None:
+    @property
+    def reads_on(self) -> bool:
         # Danger: a client that asks much and goes has its end behind what it asked. Not read that far, its
         # requests would be sent on one after another for nobody.
-        go = len(self.unsent) <= MOST_UNREAD and (self.closing or self.reader.held <= MOST_AHEAD)
+        may = len(self.unsent) <= MOST_UNREAD and (self.closing or self.reader.held <= MOST_AHEAD)
+        return may and not self.closed
+
+    def _throttle(self) -> None:
+        go = self.reads_on
         if not self.closed and go != self.reading:
             self.reading = go
             if go:
@@ -306,7 +335,7 @@
         slot = Slot(self)
         slot.answered, slot.reply = True, b"-ERR protocol error\r\n"
         self.slots.append(slot)
-        self.closing = True
+        self._hear_no_more()
         self.server.refused[reason] += 1
 
     def command(self, args: list[bytes]) -> None:
@@ -329,10 +358,13 @@
             slot.answer(b"+OK\r\n")
         elif verb == b"QUIT":
             slot.answer(b"+OK\r\n")
-            self.closing = True
+            self._hear_no_more()
         else:
             slot.answer(b"-ERR unknown command\r\n")
 
+    def _hear_no_more(self) -> None:
+        self.closing, self.reader = True, CommandReader()  # what was read ahead is not answered any more
+
     # ---- the end ----
 
     @property
--- a/roadpulley/driver.py
+++ b/roadpulley/driver.py
@@ -55,6 +55,7 @@
         self.requests: dict[str, Request] = {}
         self.attempts: dict[tuple[str, int], Attempt] = {}  # out, also those of requests that have ended
         self.events: deque[api.Event] = deque()
+        self.left: dict[str, Request] = {}  # their clients have left, which the module has not heard yet
         self.busy = self.ending = False
 
     # ---- events ----
@@ -74,6 +75,8 @@
                     # One event's fault must not take the others with it.
                     log.exception("%s could not be handled", type(event).__name__)
                     self.abandon(event)
+                if isinstance(event, api.RequestLapsed):
+                    self.left.pop(event.request, None)
         finally:
             self.busy = False
 
@@ -128,6 +131,7 @@
         owner = self.requests.pop(request, None)
         if owner is None:
             return
+        self.left[request] = owner
         self.give(api.RequestLapsed(request))
         # Nobody is waiting any more; a backend may then drop what it has not begun.
         self.give_up(owner, api.Outcome.CANCELLED)
@@ -180,14 +184,19 @@
                 pass  # the list is always followed
 
     def send(self, request: str, backend: int, timeout: float, latest: float) -> None:
+        if waiting := self.requests.get(request):
+            waiting.slot.look()  # Danger: sent on for a client whose end is not read yet, it runs for nobody
         now, owner = now_ms(), self.requests.get(request)
         if owner is None or owner.made >= self.settings.max_attempts:
-            number = owner.made if owner else 0
+            of = owner or self.left.get(request)
+            number = of.made if of else 0
+            if of is not None and owner is None:
+                of.made += 1
             self.give(api.AttemptEnded(request, number, backend, api.Outcome.IGNORED, 0.0, owner is None))
             return
         number, owner.made = owner.made, owner.made + 1
         ended = partial(self.on_ended, owner, number, now)
-        attempt = Attempt(backend, owner.command.encode, owner.expires, ended, latest)
+        attempt = Attempt(backend, owner.command.encode, owner.expires, ended, latest, owner.slot.look)
         self.attempts[request, number] = owner.live[number] = attempt
         if 0 < timeout < owner.expires - now:
             give_up = partial(self.backends.give_up, attempt, api.Outcome.TIMED_OUT)
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -28,6 +28,7 @@
         self.terms = Terms(self.driver.settings)
         server = ClientServer(loop, timers, self.driver, self.terms, 10, 1_000_000)
         self.near, self.far = socket.socketpair()
+        self.near.setblocking(False)
         self.connection = ClientConnection(server, self.near)
 
     def ask(self, id: bytes = b"r1", wait: int = 3000) -> Slot:
@@ -83,6 +84,33 @@
     in_loop(scenario)
 
 
+def test_an_attempt_not_made_for_a_client_that_has_left_is_told_by_its_own_number(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """By another one's the module would hold it to be out for ever."""
+    monkeypatch.setattr("roadpulley.clients.LOOK_MS", 0.0)
+
+    async def scenario() -> None:
+        scene = Scene()
+        scene.module.answers[api.RequestArrived] = [api.Send("r1", 7)]
+        scene.ask()
+        scene.module.answers[api.RequestArrived] = []
+        scene.ask(b"r2")
+        scene.module.answers[api.TimerFired] = [api.Send("r2", 7), api.Send("r1", 7)]
+        scene.far.close()
+        scene.driver.give(api.TimerFired("t"))
+        ended = scene.module.of(api.AttemptEnded)
+        assert [(e.request, e.attempt, e.finished) for e in ended if isinstance(e, api.AttemptEnded)] == [
+            ("r1", 0, False),
+            ("r2", 0, True),
+            ("r1", 1, True),
+        ]
+        assert len(scene.module.of(api.RequestLapsed)) == 2
+        assert not scene.driver.requests and not scene.driver.left
+
+    in_loop(scenario)
+
+
 def test_an_attempt_s_own_time_out_leaves_the_request_open() -> None:
     async def scenario() -> None:
         scene = Scene()
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -7,11 +7,13 @@
 
 import asyncio
 import contextlib
+import functools
 import json
+import math
 import socket
 import struct
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 
 import pytest
@@ -41,8 +43,9 @@
 from roadpulley.__main__ import serve
 from roadpulley.backends import Backends
 from roadpulley.clients import ClientServer, Command, Slot, Terms
-from roadpulley.clock import Timers
+from roadpulley.clock import Timers, now_ms
 from roadpulley.config import parse_config
+from roadpulley.counter import Counter as CounterClient
 from roadpulley.discovery import MOST_TRIES, host_number
 from roadpulley.driver import Driver
 
@@ -79,14 +82,16 @@
 
 
 @contextlib.asynccontextmanager
-async def joined() -> AsyncIterator[tuple[Driver, Module, ClientServer, int]]:
+async def joined(
+    module: Module | None = None, counter: CounterClient | None = None, most: int = 10
+) -> AsyncIterator[tuple[Driver, Module, ClientServer, int]]:
     """The sockets of clients and backends, joined to a scripted module."""
-    loop, module = asyncio.get_running_loop(), Module()
+    loop, module = asyncio.get_running_loop(), module or Module()
     timers = Timers(loop)
-    backends = Backends(loop, timers, 60_000, 15_000, 1_000, 10, 1_000_000)
-    driver = Driver(settings(gateways=1, classes=(VIEW,)), 1, timers, backends, None, 10)
+    backends = Backends(loop, timers, 60_000, 15_000, 1_000, most, 1_000_000)
+    driver = Driver(settings(gateways=1, classes=(VIEW,)), 1, timers, backends, counter, most)
     driver.gateway = module  # type: ignore[assignment]
-    server = ClientServer(loop, timers, driver, TERMS, 10, 1_000_000)
+    server = ClientServer(loop, timers, driver, TERMS, most, 1_000_000)
     yield driver, module, server, server.listen(LOCAL, 0)
     server.drain()
     server.close()
@@ -214,6 +219,163 @@
     in_loop(scenario)
 
 
+FIRST, SECOND = 7, 8  # backends
+HELD_UP_S = 0.12  # more than the 0.1 s in which an attempt may still begin for a client that has left
+
+
+class Waiting(Module):
+    """Holds all requests back until something happens, then sends each on to the second backend."""
+
+    def __init__(self, event: str) -> None:
+        super().__init__()
+        self.event, self.waiting = event, list[str]()
+
+    def handle(self, now: float, event: api.Event) -> list[api.Action]:
+        super().handle(now, event)
+        match event:
+            case api.RequestArrived(request) if request in ("before", "after"):
+                return [api.Send(request, SECOND)]
+            case api.RequestArrived(request):
+                self.waiting.append(request)
+                if self.event in ("a failed attempt", "a timer"):
+                    return [api.Send(request, FIRST)]
+                if self.event == "the counter's reply":
+                    return [api.Count("all", 1.0, 1_000.0)]
+                return [api.Send(request, SECOND)]
+            case api.TimerFired(request) | api.AttemptEnded(request, finished=False):
+                return [api.Send(request, SECOND)]
+            case api.CounterReplied():
+                waiting, self.waiting = self.waiting, []
+                return [api.Send(request, SECOND) for request in waiting]
+        return []
+
+
+async def among_the_events(act: Callable[[], None]) -> None:
+    """Act among what the event loop reads in one turn: its timers come next, and then what it reads anew."""
+    loop, done = asyncio.get_running_loop(), asyncio.Event()
+    near, far = socket.socketpair()
+
+    def readable() -> None:
+        loop.remove_reader(near)
+        act()
+        done.set()
+
+    loop.add_reader(near, readable)
+    far.send(b"go")
+    await done.wait()
+    near.close()
+    far.close()
+
+
+def flushing(counter: CounterClient) -> bool:
+    return any(lane.flushing or lane.waiting or lane.connecting for lane in counter.lanes)
+
+
+@pytest.mark.parametrize("count", [1, 300])
+@pytest.mark.parametrize("event", ["a failed attempt", "a timer", "the counter's reply", "the request"])
+def test_an_attempt_is_not_begun_for_a_client_whose_end_is_not_read_yet(
+    event: str, count: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Held up, the event loop finds both in one turn, and what lets the request go on first.
+
+    A timer or a reply brings the first attempt or a second copy, a failed attempt the next one.
+    """
+    monkeypatch.setattr("roadpulley.counter.SILENT_MS", math.inf)
+
+    async def scenario() -> None:
+        loop, first, tally, second = asyncio.get_running_loop(), Raw(), Raw(), Backend()
+        await second.start()
+        counter = CounterClient(loop, Timers(loop), tally.address, 60_000.0)
+        module = Waiting(event)
+        async with joined(module, counter, 2 * count + 10) as (driver, _, server, port):
+            driver.backends.update(FIRST, first.address, api.BackendState.READY)
+            driver.backends.update(SECOND, (LOCAL, second.port), api.BackendState.READY)
+            other = await connect(port)
+            other.send(*request(b"before"))  # leaves a connection on which an attempt is written at once
+            assert await other.receive() == b"value"
+            await rested(driver.backends)
+            leavers: list[socket.socket] = []
+            near: list[socket.socket] = []
+            ids = [b"%d" % number for number in range(count)]
+            if event != "the request":
+                for id in ids:
+                    leavers.append(knock(port, encode(*request(id))))
+                    await until(lambda: len(driver.requests) == len(leavers))
+                    if event != "the counter's reply":
+                        near.append(await first.taken(1))
+                if event == "the counter's reply":
+                    near.append((await loop.sock_accept(tally.listener))[0])
+                    near[0].setblocking(True)
+                    await until(lambda: len(counter.calls["all"]) == count and not flushing(counter))
+
+            def held_up() -> None:
+                if event == "the request":
+                    leavers.extend(knock(port, encode(*request(id))) for id in ids)
+                elif event == "a failed attempt":
+                    for each in near:
+                        each.sendall(b"-ERR failed\r\n")
+                elif event == "the counter's reply":
+                    near[0].sendall(b"ok 1\r\n")
+                else:
+                    for id in ids:
+                        told = functools.partial(driver.give, api.TimerFired(id.decode()))
+                        driver.timers.at(now_ms(), told)
+                for leaver in leavers:
+                    leaver.close()
+                time.sleep(HELD_UP_S)
+
+            await among_the_events(held_up)
+            await until(lambda: len(module.of(api.RequestLapsed)) == count)
+            other.send(*request(b"after"))
+            assert await other.receive() == b"value"
+            assert [command[2] for command in second.got] == [b"before", b"after"]
+            assert not driver.requests and not driver.attempts and not driver.left
+            for each in near:
+                each.close()
+        counter.close()
+        first.listener.close()
+        tally.listener.close()
+        await second.stop()
+
+    in_loop(scenario)
+
+
+def test_a_connection_that_comes_up_as_its_client_leaves_is_not_written_to() -> None:
+    """Both are found in one turn, the connection first: it took its time behind a full queue."""
+
+    async def scenario() -> None:
+        with contextlib.ExitStack() as stack:
+            busy = stack.enter_context(socket.create_server((LOCAL, 0), backlog=0))
+            address = busy.getsockname()
+            fillers = [stack.enter_context(socket.socket()) for _ in range(3)]
+            for filler in fillers:
+                filler.setblocking(False)
+                filler.connect_ex(address)
+            async with joined() as (driver, module, server, port):
+                driver.backends.update(FIRST, address, api.BackendState.READY)
+                module.answers[api.RequestArrived] = [api.Send("waits", FIRST)]
+                leaver = knock(port, encode(*request(b"waits")))
+                await until(lambda: driver.attempts)
+                (connection,) = driver.backends.connections
+                assert not connection.up
+                for filler in fillers:
+                    filler.close()
+                busy.settimeout(10.0)
+                while True:  # nobody else has a turn until it is up
+                    near, peer = busy.accept()
+                    stack.enter_context(near)
+                    if peer == connection.socket.getsockname():
+                        break
+                leaver.close()
+                time.sleep(HELD_UP_S)
+                await until(lambda: not server.connections)
+                assert not driver.backends.connections and not driver.attempts
+                near.settimeout(10.0)
+                assert near.recv(1) == b""
+
+    in_loop(scenario)
+
+
 # ---- SIGTERM ----
 
 
