See a client leave whose end lies behind more than 128 KiB unread

Seen: with 32 requests waiting and over 128 KiB behind them, a connection was read no further, and its client was known to have left at the next answer written to it at the earliest (left so in docs/endings.md); until then its requests went on. Checked: the end of such a client is not even with this machine while the window is shut, so no look at the socket (MSG_PEEK, POLLRDHUP, TCP_INFO) can tell of it; only reading on can. At fault: `_throttle` in clients.py, which bounded each connection alone, whatever the others held.

--- a/roadpulley/clients.py
+++ b/roadpulley/clients.py
@@ -25,7 +25,9 @@
 
 MOST_WAITING = 32  # commands of one connection that may wait for their answers before it is read no further
 MOST_HELD = 128 * 1024  # bytes of these commands, likewise
-MOST_AHEAD = 128 * 1024  # bytes read beyond these: only at their end can it be seen that the client has left
+# Bytes read beyond these, as only at their end can it be seen that the client has left: so many of each
+# connection, and more while those of all together are no more than this share of the memory given.
+MOST_AHEAD, AHEAD_SHARE = 128 * 1024, 0.25
 MOST_UNREAD = 128 * 1024  # bytes of answers that a client may leave unread, likewise
 READ_BYTES = 32 * 1024
 BACKLOG = 1024  # connections that wait to be taken in, at no cost in descriptors
@@ -190,6 +192,7 @@
         self.used_at = self.moved_at = now_ms()  # moved: answers were last taken by the client
         self.due: float | None = self.used_at + WHOLE_MS  # of a command that is owed; None: between commands
         self.dry_at = -math.inf  # when all had been read that had come
+        self.ahead = 0  # bytes read and not taken, as the server counts them
         self._throttle()
 
     # ---- from the event loop ----
@@ -212,6 +215,7 @@
         elif not self.closing:  # else nothing more is answered, and it is read only to see the client leave
             self.reader.feed(self.server.view[:count])
             self.unread = True
+            self._count()
         return count > 0
 
     def look(self) -> None:
@@ -249,8 +253,14 @@
             self.pumping = False
         if self.idle and self.closing or self.between and self.server.draining:
             self.close()
+        self._count()
         self._throttle()
 
+    def _count(self) -> None:
+        ahead = 0 if self.closed else self.reader.held
+        self.server.ahead += ahead - self.ahead
+        self.ahead = ahead
+
     def _go_on(self) -> None:
         self._write()
         while self.unread and not self._stuck():
@@ -318,8 +328,8 @@
     def reads_on(self) -> bool:
         # Danger: a client that asks much and goes has its end behind what it asked. Not read that far, its
         # requests would be sent on one after another for nobody.
-        may = len(self.unsent) <= MOST_UNREAD and (self.closing or self.reader.held <= MOST_AHEAD)
-        return may and not self.closed
+        room = self.reader.held <= MOST_AHEAD or self.server.ahead <= self.server.most_ahead
+        return len(self.unsent) <= MOST_UNREAD and (self.closing or room) and not self.closed
 
     def _throttle(self) -> None:
         go = self.reads_on
@@ -394,6 +404,8 @@
             self.pump()
         elif now - self.used_at > (YOUNG_MS if self.server.draining else IDLE_MS):
             self.retire()
+        else:
+            self._throttle()  # others may have left room
 
     def end(self) -> None:
         """Close at the end of the process, once what has come until now is answered."""
@@ -409,6 +421,7 @@
         self.socket.close()
         self.server.forget(self)
         self.server.unsent -= len(self.unsent)
+        self._count()
         slots, self.slots, self.unsent = self.slots, deque(), bytearray()
         for slot in slots:
             slot.answered = True
@@ -430,6 +443,7 @@
     ) -> None:
         self.loop, self.timers, self.handler, self.terms, self.most = loop, timers, handler, terms, most
         self.most_unsent, self.unsent = memory, 0  # bytes of answers that are not taken yet, of all clients
+        self.most_ahead, self.ahead = int(memory * AHEAD_SHARE), 0  # of commands that are not taken, likewise
         self.buffer = bytearray(READ_BYTES)  # of all connections: each takes out at once what it has read
         self.view = memoryview(self.buffer)
         self.connections: dict[ClientConnection, None] = {}  # the longest unused first
