Ask the system for a client's end where nothing more may be read

Seen: where all that may be read ahead is taken up, or a client leaves its answers unread, a connection is taken from the event loop, and an end that has come to this machine behind unread bytes is not known before the next answer is written. Ruled out: MSG_PEEK, which sees the unread bytes only, and to leave the connection with the event loop, which would report it readable without end. At fault: `_throttle`.

Where the system does not know the connection or the flag, all stays as it was. An end of sending counts as gone, as it does wherever it is read.

--- a/roadpulley/clients.py
+++ b/roadpulley/clients.py
@@ -7,9 +7,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import math
 import re
+import select
 import socket
 from collections import Counter as Tally
 from collections import deque
@@ -233,6 +235,17 @@
             got = True
         if got:
             self.pump()
+        self._look_past()
+
+    def _look_past(self) -> None:
+        """Where nothing more may be read, ask the system for an end that has come behind it."""
+        if self.closed or self.reads_on:
+            return
+        with contextlib.suppress(OSError):  # it may not know; the next answer tells then
+            poll = select.poll()
+            poll.register(self.fd, select.POLLRDHUP)
+            if any(event & (select.POLLRDHUP | select.POLLHUP | select.POLLERR) for _, event in poll.poll(0)):
+                self.close()
 
     def _writable(self) -> None:
         self._send()
@@ -406,6 +419,7 @@
             self.retire()
         else:
             self._throttle()  # others may have left room
+            self._look_past()
 
     def end(self) -> None:
         """Close at the end of the process, once what has come until now is answered."""
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -177,6 +177,39 @@
     in_loop(scenario)
 
 
+@pytest.mark.parametrize("seen_by", ["a sweep", "a look"])
+def test_an_end_behind_what_may_not_be_read_is_seen(seen_by: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """It has come as far as this machine, where all that may be read ahead is taken up."""
+    monkeypatch.setattr(clients, "SWEEP_MS", 20.0 if seen_by == "a sweep" else 1e9)
+
+    async def scenario() -> None:
+        async with served(memory=0) as (server, holder, port):
+            gone, stays = await connect(port), await connect(port)
+            flood = b"".join(encode(*request(b"g%04d" % number)) for number in range(1_700))
+            assert len(flood) > clients.MOST_AHEAD + clients.READ_BYTES + clients.MOST_WAITING * 110
+            gone.writer.write(flood)
+            stays.writer.write(flood.replace(b"g0", b"s0").replace(b"g1", b"s1"))
+            await until(lambda: len(server.connections) == 2)
+            await until(lambda: not any(connection.reading for connection in server.connections))
+            slots = list(holder.slots.values())
+            gone.close()
+
+            def seen() -> bool:
+                if seen_by == "a look":
+                    for slot in slots:
+                        slot.look()
+                return len(server.connections) == 1
+
+            async with asyncio.timeout(5):
+                await until(seen)
+            assert sorted(holder.gone) == [f"g{number:04}" for number in range(clients.MOST_WAITING)]
+            for _ in range(20):
+                assert seen()  # the other one stays, whose requests lie as deep
+                await asyncio.sleep(0.002)
+
+    in_loop(scenario)
+
+
 def test_what_all_connections_read_ahead_together_is_bounded() -> None:
     """Each may go on with its own part; one that has more goes on once others have left room."""
 
