Keep descriptors back for the watch, the counter and backends, also where they are few

Seen: with 64 descriptors, all of the backends' part in use and idle clients filling theirs, the watch could not be opened at discovery's return ("watch failed: OSError [Errno 24] Too many open files" in the log of a real process), and 49 times a second no client could be accepted; with 96 a request found no descriptor for its backend. At fault: CLIENT_SHARE and BACKEND_SHARE in __main__.py, which leave a quarter as headroom, less than what is needed where the limit is under 160.

`shares` now keeps 40 descriptors back in any case, and goes by the system's own limit where that is lower than the configured one. From 160 on nothing changes. test_at_the_bound_an_unused_connection_makes_room names 45 descriptors in the place of 6, so that its bound is the same three clients as before.

--- a/roadpulley/__main__.py
+++ b/roadpulley/__main__.py
@@ -8,6 +8,7 @@
 import logging
 import os
 import random
+import resource
 import signal
 import sys
 from collections.abc import Callable
@@ -29,6 +30,9 @@
 log = logging.getLogger("roadpulley")
 
 CLIENT_SHARE, BACKEND_SHARE = 0.5, 0.25  # of the descriptors; the rest is headroom
+# At least so many: 14 of the process itself, 7 for watches that are opened and closed beside each other, 8
+# for the counter at two addresses, and some for files that are read again and what the process began with.
+RESERVED = 40
 MEMORY_SHARE = 0.2  # of the memory, for answers that are not whole, and again for those not yet taken
 STILL_COMING_S = 0.45  # after SIGTERM, new connections go on coming for this long
 LONGEST_WAIT_S = 3.0  # the longest deadline that SIGKILL waits for, and 0.7 s more
@@ -81,6 +85,18 @@
     return max(STILL_COMING_S, longest + LAST_ANSWER_S - aim), longest + LAST_ANSWER_S
 
 
+def shares(sockets: int) -> tuple[int, int]:
+    """How many descriptors the connections of clients may take, and how many those to backends.
+
+    Danger: clients fill all that they may have. A watch that finds none left then misses what it is told.
+    """
+    allowed, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    sockets = sockets if allowed == resource.RLIM_INFINITY else min(sockets, allowed)
+    room = max(0, sockets - RESERVED)
+    of_clients, of_backends = int(sockets * CLIENT_SHARE), int(sockets * BACKEND_SHARE)
+    return max(1, min(of_clients, room * 2 // 3)), max(1, min(of_backends, room // 3))
+
+
 async def serve(
     config: Config,
     stop: asyncio.Event,
@@ -95,13 +111,14 @@
     loop = asyncio.get_running_loop()
     timers = Timers(loop)
     memory = int(config.memory_mb * MEMORY_SHARE * 2**20)
+    for_clients, for_backends = shares(config.sockets)
     backends = Backends(
         loop,
         timers,
         config.connect_timeout,
         config.keepalive,
         config.settings.rules.drain_grace,
-        int(config.sockets * BACKEND_SHARE),
+        for_backends,
         memory,
     )
     counter = Counter(loop, timers, config.counter, config.settings.count_wait) if config.counter else None
@@ -131,7 +148,7 @@
         timers,
         driver,
         Terms(config.settings),
-        int(config.sockets * CLIENT_SHARE),
+        for_clients,
         memory,
     )
     if again is not None and load is not None:
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -47,9 +47,9 @@
 }
 
 
-def in_loop(scenario: Callable[[], Awaitable[None]]) -> None:
+def in_loop(scenario: Callable[[], Awaitable[None]], seconds: float = 20) -> None:
     async def limited() -> None:
-        async with asyncio.timeout(20):
+        async with asyncio.timeout(seconds):
             await scenario()
 
     uvloop.run(limited())
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -13,6 +13,7 @@
 from loopback import Backend, Peer, Reply, World, encode, in_loop, request, running, until
 
 from roadpulley import clients
+from roadpulley.__main__ import RESERVED
 
 
 def array(value: bytes) -> bytes:
@@ -395,7 +396,7 @@
     monkeypatch.setattr(clients, "SPARE_MS", 0.0)
 
     async def scenario() -> None:
-        async with running(World(Backend(), sockets=6)) as world:
+        async with running(World(Backend(), sockets=RESERVED + 5)) as world:
             peers: list[Peer] = [await world.client() for _ in range(3)]
             for number, peer in enumerate(peers):
                 assert await world.ask(peer, id=b"%d" % number) == b"value"
