--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -310,6 +310,30 @@
     in_loop(scenario)
 
 
+@pytest.mark.parametrize("end", ["close", "reset", "end of sending"])
+def test_a_client_has_gone_however_it_ends_its_connection(end: str) -> None:
+    """Also with answers to come; the pages know no other way to call a request off."""
+
+    async def scenario() -> None:
+        async with served() as (server, holder, port):
+            commands = request(b"waits"), (b"CANCEL", b"waits"), request(b"too")
+            far = knock(port, b"".join(encode(*command) for command in commands))
+            await until(lambda: len(holder.slots) == 2)
+            assert not holder.gone  # no command ends a request
+            if end == "end of sending":
+                far.shutdown(socket.SHUT_WR)
+            else:
+                if end == "reset":
+                    far.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                far.close()
+            await until(lambda: not server.connections)
+            assert holder.gone == ["waits", "too"]
+            if end == "end of sending":
+                assert await (await heard(far)).receive() is None
+
+    in_loop(scenario)
+
+
 FIRST, SECOND = 7, 8  # backends
 HELD_UP_S = 0.12  # more than the 0.1 s in which an attempt may still begin for a client that has left
 
