Hold the module to no second copy and no next attempt for a client that has left

The module forgets a request when it hears that its client has left, so that neither the timer for a second copy nor a failed attempt finds it; only the next attempt was forced by a test. The program held it already. With the forgetting taken out of `on_lapsed` both cases fail: "['r1', 'r2'] == ['r1']" for the second copy, and a Send of the lapsed request for the next attempt.

--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -369,3 +369,17 @@
         assert a.ask(plan="basic") == b.ask(plan="zzz")
         a.pass_time(100)
         b.pass_time(100)
+
+
+@pytest.mark.parametrize("duplicate", [True, False])
+def test_no_further_attempt_is_made_for_a_client_that_has_left(duplicate: bool) -> None:
+    """Neither a second copy once the first attempt is out for long, nor the next one once that has failed."""
+    w = world(entry(1), entry(2), entry(3), may_duplicate=duplicate)
+    stays, leaves = one(w.ask()), one(w.ask())
+    w.give(api.RequestLapsed(leaves.request))
+    actions = w.pass_time(900)
+    assert [send.request for send in sends(actions)] == [stays.request] * duplicate
+    ends = w.end(stays, api.Outcome.FAILED) if not duplicate else []
+    actions = [*ends, *w.end(leaves, api.Outcome.FAILED), *w.pass_time(3_000)]
+    assert all(send.request == stays.request for send in sends(actions))
+    assert duplicate or len(sends(ends)) == 1
