--- a/scale/hollow.py
+++ b/scale/hollow.py
@@ -59,6 +59,9 @@
             self.answered = True
             self.owner.served += reply.startswith(b"$")
 
+    def look(self) -> None:
+        """No client stands behind it that could leave."""
+
 
 class Hollow:
     """One hollow gateway. `heard` notes when each message of the list had been taken."""
