Drop commands from the buffer once they are taken, and not only at the next read

Seen: after a flood of requests had been answered, connections kept what they had read ahead: 15 MiB on 100 connections with nothing left to take. At fault: CommandReader.next, which moves on in its buffer while only `feed` drops what lies behind. With the room to read more ahead than 128 KiB, one connection after another could have kept as much as all together may, which is counted by what is not taken yet.

What was taken is now dropped once it is over 32 KiB.

--- a/roadpulley/resp.py
+++ b/roadpulley/resp.py
@@ -15,6 +15,7 @@
 LARGEST_COMMAND = LARGEST_VALUE + 4 * 1024  # all of its arguments together
 MOST_ARGUMENTS = 16
 LARGEST_ANSWER = 1024 * 1024  # backends send values well over 64 KiB, whatever the protocol says
+MOST_TAKEN = 32 * 1024  # bytes of commands that were taken, kept until they are dropped together
 LONGEST_ERROR = 1024
 LARGEST_EXTRA = 4 * 1024  # figures on use and load report, as they are on the wire
 
@@ -48,10 +49,13 @@
 
     def feed(self, data: bytes | memoryview) -> None:
         if self._at:
-            del self._buffer[: self._at]
-            self._at = 0
+            self._drop()
         self._buffer += data
 
+    def _drop(self) -> None:
+        del self._buffer[: self._at]
+        self._at = 0
+
     @property
     def held(self) -> int:
         """Bytes that are kept of a command that is not whole; 0 between commands."""
@@ -83,6 +87,8 @@
             self._left -= 1
             if not self._left:
                 args, self._args, self._total = self._args, [], 0
+                if self._at > MOST_TAKEN:  # nothing may follow for long
+                    self._drop()
                 return args
 
     def _header(self, form: re.Pattern[bytes]) -> int | None:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -12,6 +12,7 @@
 import math
 import socket
 import struct
+import sys
 import time
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
@@ -48,6 +49,7 @@
 from roadpulley.counter import Counter as CounterClient
 from roadpulley.discovery import MOST_TRIES, host_number
 from roadpulley.driver import Driver
+from roadpulley.resp import MOST_TAKEN
 
 VIEW = api.RequestClass("view", 1500, 4000, effect=api.Effect.SAFE)
 TERMS = Terms(settings(gateways=1, classes=(VIEW,), plans=(api.Plan("free"),)))
@@ -210,6 +212,24 @@
     in_loop(scenario)
 
 
+def test_what_was_read_ahead_is_not_kept_once_it_is_taken() -> None:
+    """Otherwise one connection after another would keep as much as all together may read ahead."""
+
+    async def scenario() -> None:
+        async with served(memory=16 * 2**20) as (server, holder, port):
+            peer, count = await connect(port), 10_000
+            peer.writer.write(b"".join(encode(*request(b"%05d" % number)) for number in range(count)))
+            await until(lambda: server.ahead > 7 * clients.MOST_AHEAD)
+            holder.reply = b"-BUSY\r\n"
+            (connection,) = server.connections
+            for slot in list(holder.slots.values()):
+                slot.answer(b"-BUSY\r\n")
+            await until(lambda: len(holder.slots) == count and server.ahead == 0)
+            assert sys.getsizeof(connection.reader._buffer) < 2 * (MOST_TAKEN + clients.READ_BYTES)
+
+    in_loop(scenario)
+
+
 def test_what_all_connections_read_ahead_together_is_bounded() -> None:
     """Each may go on with its own part; one that has more goes on once others have left room."""
 
