--- a/roadpulley/clients.py
+++ b/roadpulley/clients.py
@@ -7,8 +7,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
+import math
 import re
+import select
 import socket
 from collections import Counter as Tally
 from collections import deque
@@ -24,7 +27,9 @@
 
 MOST_WAITING = 32  # commands of one connection that may wait for their answers before it is read no further
 MOST_HELD = 128 * 1024  # bytes of these commands, likewise
-MOST_AHEAD = 128 * 1024  # bytes read beyond these: only at their end can it be seen that the client has left
+# Bytes read beyond these, as only at their end can it be seen that the client has left: so many of each
+# connection, and more while those of all together are no more than this share of the memory given.
+MOST_AHEAD, AHEAD_SHARE = 128 * 1024, 0.25
 MOST_UNREAD = 128 * 1024  # bytes of answers that a client may leave unread, likewise
 READ_BYTES = 32 * 1024
 BACKLOG = 1024  # connections that wait to be taken in, at no cost in descriptors
@@ -36,6 +41,8 @@
 IDLE_MS = 30_000.0  # unused for this long: closed
 YOUNG_MS = 100.0  # in which a new connection is let say something, however short room is
 RETRY_MS = 20.0  # until there may be room, or a descriptor, again
+LOOK_MS = 20.0  # a client that had not left so short ago need not be looked at again
+MOST_READS = 64  # of one look: a client that never stops must not hold up all others
 HARMLESS = {b"CLIENT", b"SELECT"}  # commands of connection set-up
 VERBS = {b"API.READ": True, b"API.WRITE": False}  # whether it serves the classes that are safe to repeat
 
@@ -166,6 +173,9 @@
             self.answered, self.reply, self.request = True, reply, None
             self.connection.pump()
 
+    def look(self) -> None:
+        self.connection.look()
+
 
 class Handler(Protocol):
     def on_command(self, command: Command, slot: Slot) -> None: ...
@@ -183,6 +193,8 @@
         self.reading = self.writing = self.closing = self.closed = self.pumping = self.unread = False
         self.used_at = self.moved_at = now_ms()  # moved: answers were last taken by the client
         self.due: float | None = self.used_at + WHOLE_MS  # of a command that is owed; None: between commands
+        self.dry_at = -math.inf  # when all had been read that had come
+        self.ahead = 0  # bytes read and not taken, as the server counts them
         self._throttle()
 
     # ---- from the event loop ----
@@ -196,6 +208,7 @@
         try:
             count = self.socket.recv_into(self.server.buffer)
         except (BlockingIOError, InterruptedError):
+            self.dry_at = now_ms()
             return False
         except OSError:
             count = 0
@@ -204,8 +217,36 @@
         elif not self.closing:  # else nothing more is answered, and it is read only to see the client leave
             self.reader.feed(self.server.view[:count])
             self.unread = True
+            self._count()
         return count > 0
 
+    def look(self) -> None:
+        """Read all that has come, to see whether the client has left.
+
+        The event loop tells of it in a turn of its own order: where this process was held up, timers, the
+        counter's replies and backends' answers may all come before it.
+        """
+        if now_ms() - self.dry_at < LOOK_MS:
+            return
+        got = False
+        for _ in range(MOST_READS):
+            if not self.reads_on or not self._read():
+                break
+            got = True
+        if got:
+            self.pump()
+        self._look_past()
+
+    def _look_past(self) -> None:
+        """Where nothing more may be read, ask the system for an end that has come behind it."""
+        if self.closed or self.reads_on:
+            return
+        with contextlib.suppress(OSError):  # it may not know; the next answer tells then
+            poll = select.poll()
+            poll.register(self.fd, select.POLLRDHUP)
+            if any(event & (select.POLLRDHUP | select.POLLHUP | select.POLLERR) for _, event in poll.poll(0)):
+                self.close()
+
     def _writable(self) -> None:
         self._send()
         self.pump()
@@ -225,8 +266,14 @@
             self.pumping = False
         if self.idle and self.closing or self.between and self.server.draining:
             self.close()
+        self._count()
         self._throttle()
 
+    def _count(self) -> None:
+        ahead = 0 if self.closed else self.reader.held
+        self.server.ahead += ahead - self.ahead
+        self.ahead = ahead
+
     def _go_on(self) -> None:
         self._write()
         while self.unread and not self._stuck():
@@ -290,10 +337,15 @@
             else:
                 self.server.loop.remove_writer(self.fd)
 
-    def _throttle(self) -> None:
+    @property
+    def reads_on(self) -> bool:
         # Danger: a client that asks much and goes has its end behind what it asked. Not read that far, its
         # requests would be sent on one after another for nobody.
-        go = len(self.unsent) <= MOST_UNREAD and (self.closing or self.reader.held <= MOST_AHEAD)
+        room = self.reader.held <= MOST_AHEAD or self.server.ahead <= self.server.most_ahead
+        return len(self.unsent) <= MOST_UNREAD and (self.closing or room) and not self.closed
+
+    def _throttle(self) -> None:
+        go = self.reads_on
         if not self.closed and go != self.reading:
             self.reading = go
             if go:
@@ -306,7 +358,7 @@
         slot = Slot(self)
         slot.answered, slot.reply = True, b"-ERR protocol error\r\n"
         self.slots.append(slot)
-        self.closing = True
+        self._hear_no_more()
         self.server.refused[reason] += 1
 
     def command(self, args: list[bytes]) -> None:
@@ -329,10 +381,13 @@
             slot.answer(b"+OK\r\n")
         elif verb == b"QUIT":
             slot.answer(b"+OK\r\n")
-            self.closing = True
+            self._hear_no_more()
         else:
             slot.answer(b"-ERR unknown command\r\n")
 
+    def _hear_no_more(self) -> None:
+        self.closing, self.reader = True, CommandReader()  # what was read ahead is not answered any more
+
     # ---- the end ----
 
     @property
@@ -362,6 +417,9 @@
             self.pump()
         elif now - self.used_at > (YOUNG_MS if self.server.draining else IDLE_MS):
             self.retire()
+        else:
+            self._throttle()  # others may have left room
+            self._look_past()
 
     def end(self) -> None:
         """Close at the end of the process, once what has come until now is answered."""
@@ -377,6 +435,7 @@
         self.socket.close()
         self.server.forget(self)
         self.server.unsent -= len(self.unsent)
+        self._count()
         slots, self.slots, self.unsent = self.slots, deque(), bytearray()
         for slot in slots:
             slot.answered = True
@@ -398,6 +457,7 @@
     ) -> None:
         self.loop, self.timers, self.handler, self.terms, self.most = loop, timers, handler, terms, most
         self.most_unsent, self.unsent = memory, 0  # bytes of answers that are not taken yet, of all clients
+        self.most_ahead, self.ahead = int(memory * AHEAD_SHARE), 0  # of commands that are not taken, likewise
         self.buffer = bytearray(READ_BYTES)  # of all connections: each takes out at once what it has read
         self.view = memoryview(self.buffer)
         self.connections: dict[ClientConnection, None] = {}  # the longest unused first
--- a/roadpulley/driver.py
+++ b/roadpulley/driver.py
@@ -13,6 +13,7 @@
 from .backends import Attempt, Backends
 from .clients import Command, Slot
 from .clock import Timer, Timers, now_ms
+from .config import Address
 from .counter import Counter
 from .discovery import Member
 from .resp import bulk
@@ -54,7 +55,9 @@
         self.timers, self.backends, self.counter, self.max_open = timers, backends, counter, max_open
         self.requests: dict[str, Request] = {}
         self.attempts: dict[tuple[str, int], Attempt] = {}  # out, also those of requests that have ended
+        self.listed: dict[int, Address] = {}  # what has come of a whole list
         self.events: deque[api.Event] = deque()
+        self.left: dict[str, Request] = {}  # their clients have left, which the module has not heard yet
         self.busy = self.ending = False
 
     # ---- events ----
@@ -74,6 +77,8 @@
                     # One event's fault must not take the others with it.
                     log.exception("%s could not be handled", type(event).__name__)
                     self.abandon(event)
+                if isinstance(event, api.RequestLapsed):
+                    self.left.pop(event.request, None)
         finally:
             self.busy = False
 
@@ -82,14 +87,20 @@
         if isinstance(event, api.RequestArrived | api.AttemptEnded):
             self.finish(event.request, FAILED)
 
-    def members(self, scope: api.ListScope, members: tuple[Member, ...]) -> None:
-        if scope is not api.ListScope.CHANGES:
-            listed = {m.entry.backend for m in members}
-            for backend in set(self.backends.hosts) - listed:
-                self.backends.retire(backend)
+    def members(
+        self, scope: api.ListScope, members: tuple[Member, ...], first: bool = True, last: bool = True
+    ) -> None:
+        if scope is not api.ListScope.CHANGES and first:
+            self.listed = {}
         for member in members:
             self.backends.update(member.entry.backend, member.address, member.entry.state)
-        self.give(api.BackendsChanged(scope, tuple(m.entry for m in members)))
+        if scope is not api.ListScope.CHANGES:
+            ready = (m for m in members if m.entry.state is api.BackendState.READY)
+            self.listed.update((m.entry.backend, m.address) for m in ready)
+            if last:
+                self.backends.keep(self.listed)
+                self.listed = {}
+        self.give(api.BackendsChanged(scope, tuple(m.entry for m in members), first, last))
 
     def on_command(self, command: Command, slot: Slot) -> None:
         # Danger: an attempt that goes on after its request's answer is known by the id as well.
@@ -128,6 +139,7 @@
         owner = self.requests.pop(request, None)
         if owner is None:
             return
+        self.left[request] = owner
         self.give(api.RequestLapsed(request))
         # Nobody is waiting any more; a backend may then drop what it has not begun.
         self.give_up(owner, api.Outcome.CANCELLED)
@@ -180,14 +192,19 @@
                 pass  # the list is always followed
 
     def send(self, request: str, backend: int, timeout: float, latest: float) -> None:
+        if waiting := self.requests.get(request):
+            waiting.slot.look()  # Danger: sent on for a client whose end is not read yet, it runs for nobody
         now, owner = now_ms(), self.requests.get(request)
         if owner is None or owner.made >= self.settings.max_attempts:
-            number = owner.made if owner else 0
+            of = owner or self.left.get(request)
+            number = of.made if of else 0
+            if of is not None and owner is None:
+                of.made += 1
             self.give(api.AttemptEnded(request, number, backend, api.Outcome.IGNORED, 0.0, owner is None))
             return
         number, owner.made = owner.made, owner.made + 1
         ended = partial(self.on_ended, owner, number, now)
-        attempt = Attempt(backend, owner.command.encode, owner.expires, ended, latest)
+        attempt = Attempt(backend, owner.command.encode, owner.expires, ended, latest, owner.slot.look)
         self.attempts[request, number] = owner.live[number] = attempt
         if 0 < timeout < owner.expires - now:
             give_up = partial(self.backends.give_up, attempt, api.Outcome.TIMED_OUT)
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -47,9 +47,9 @@
 }
 
 
-def in_loop(scenario: Callable[[], Awaitable[None]]) -> None:
+def in_loop(scenario: Callable[[], Awaitable[None]], seconds: float = 20) -> None:
     async def limited() -> None:
-        async with asyncio.timeout(20):
+        async with asyncio.timeout(seconds):
             await scenario()
 
     uvloop.run(limited())
@@ -238,7 +238,9 @@
         self.service, self.version, self.heard = service or Discovery(), version, Heard()
         self.again = again
 
-    def take(self, scope: ListScope, members: tuple[Member, ...]) -> None:
+    def take(
+        self, scope: ListScope, members: tuple[Member, ...], first: bool = True, last: bool = True
+    ) -> None:
         self.heard.append((scope, [(m.entry.backend, m.entry.state) for m in members]))
 
     async def __aenter__(self) -> Watch:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -7,11 +7,14 @@
 
 import asyncio
 import contextlib
+import functools
 import json
+import math
 import socket
 import struct
+import sys
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass, field
 
 import pytest
@@ -41,10 +44,12 @@
 from roadpulley.__main__ import serve
 from roadpulley.backends import Backends
 from roadpulley.clients import ClientServer, Command, Slot, Terms
-from roadpulley.clock import Timers
+from roadpulley.clock import Timers, now_ms
 from roadpulley.config import parse_config
+from roadpulley.counter import Counter as CounterClient
 from roadpulley.discovery import MOST_TRIES, host_number
 from roadpulley.driver import Driver
+from roadpulley.resp import MOST_TAKEN
 
 VIEW = api.RequestClass("view", 1500, 4000, effect=api.Effect.SAFE)
 TERMS = Terms(settings(gateways=1, classes=(VIEW,), plans=(api.Plan("free"),)))
@@ -68,9 +73,11 @@
 
 
 @contextlib.asynccontextmanager
-async def served(most: int = 100) -> AsyncIterator[tuple[ClientServer, Holder, int]]:
+async def served(
+    most: int = 100, memory: int = 1_000_000
+) -> AsyncIterator[tuple[ClientServer, Holder, int]]:
     loop, holder = asyncio.get_running_loop(), Holder()
-    server = ClientServer(loop, Timers(loop), holder, TERMS, most, 1_000_000)
+    server = ClientServer(loop, Timers(loop), holder, TERMS, most, memory)
     port = server.listen(LOCAL, 0)
     yield server, holder, port
     server.drain()
@@ -79,14 +86,16 @@
 
 
 @contextlib.asynccontextmanager
-async def joined() -> AsyncIterator[tuple[Driver, Module, ClientServer, int]]:
+async def joined(
+    module: Module | None = None, counter: CounterClient | None = None, most: int = 10
+) -> AsyncIterator[tuple[Driver, Module, ClientServer, int]]:
     """The sockets of clients and backends, joined to a scripted module."""
-    loop, module = asyncio.get_running_loop(), Module()
+    loop, module = asyncio.get_running_loop(), module or Module()
     timers = Timers(loop)
-    backends = Backends(loop, timers, 60_000, 15_000, 1_000, 10, 1_000_000)
-    driver = Driver(settings(gateways=1, classes=(VIEW,)), 1, timers, backends, None, 10)
+    backends = Backends(loop, timers, 60_000, 15_000, 1_000, most, 1_000_000)
+    driver = Driver(settings(gateways=1, classes=(VIEW,)), 1, timers, backends, counter, most)
     driver.gateway = module  # type: ignore[assignment]
-    server = ClientServer(loop, timers, driver, TERMS, 10, 1_000_000)
+    server = ClientServer(loop, timers, driver, TERMS, most, 1_000_000)
     yield driver, module, server, server.listen(LOCAL, 0)
     server.drain()
     server.close()
@@ -121,19 +130,126 @@
     in_loop(scenario)
 
 
-def test_what_is_read_ahead_of_the_answers_is_bounded() -> None:
+def ask_and_go(port: int, most: int) -> None:
+    """A client that writes as many requests as the system takes from it, and closes."""
+    far = socket.socket()
+    far.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4 * most)
+    far.connect((LOCAL, port))
+    far.setblocking(False)
+    data = memoryview(b"".join(encode(*request(b"%06d" % number)) for number in range(most // 100))[:most])
+    with contextlib.suppress(BlockingIOError):
+        while data:
+            data = data[far.send(data) :]
+    far.close()
+
+
+def test_a_client_whose_end_lies_behind_much_that_it_asked_is_seen_to_go() -> None:
+    """Unread, it is still with the client's system: no look at the socket here could tell of it."""
+
     async def scenario() -> None:
-        async with served() as (server, holder, port):
+        async with served(memory=16 * 2**20) as (server, holder, port):
+            ask_and_go(port, 4 * clients.MOST_AHEAD)
+            async with asyncio.timeout(5):
+                await until(lambda: holder.slots and not server.connections)
+            assert sorted(holder.gone) == sorted(holder.slots)
+            assert len(holder.slots) == clients.MOST_WAITING and server.ahead == 0
+
+    in_loop(scenario)
+
+
+@pytest.mark.parametrize("memory", [0, 1_000_000])
+def test_what_is_read_ahead_of_the_answers_is_bounded(memory: int) -> None:
+    """By what one connection may hold, and beyond that by what all of them may together."""
+
+    async def scenario() -> None:
+        async with served(memory=memory) as (server, holder, port):
             peer = await connect(port)
             ids = [b"%05d" % number for number in range(10_000)]
             peer.writer.write(b"".join(encode(*request(id)) for id in ids))
             await until(lambda: holder.slots and not next(iter(server.connections)).reading)
             (connection,) = server.connections
-            assert connection.reader.held <= clients.MOST_AHEAD + clients.READ_BYTES
+            most = max(clients.MOST_AHEAD, server.most_ahead)
+            assert most < connection.reader.held == server.ahead <= most + clients.READ_BYTES
             for id in ids:  # and all of it is answered once there is room
                 await until(lambda id=id: id.decode() in holder.slots)  # type: ignore[misc]
                 holder.slots[id.decode()].answer(encode(id))
             assert [await peer.receive() for _ in ids] == [[id] for id in ids]
+            assert server.ahead == 0
+
+    in_loop(scenario)
+
+
+@pytest.mark.parametrize("seen_by", ["a sweep", "a look"])
+def test_an_end_behind_what_may_not_be_read_is_seen(seen_by: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """It has come as far as this machine, where all that may be read ahead is taken up."""
+    monkeypatch.setattr(clients, "SWEEP_MS", 20.0 if seen_by == "a sweep" else 1e9)
+
+    async def scenario() -> None:
+        async with served(memory=0) as (server, holder, port):
+            gone, stays = await connect(port), await connect(port)
+            flood = b"".join(encode(*request(b"g%04d" % number)) for number in range(1_700))
+            assert len(flood) > clients.MOST_AHEAD + clients.READ_BYTES + clients.MOST_WAITING * 110
+            gone.writer.write(flood)
+            stays.writer.write(flood.replace(b"g0", b"s0").replace(b"g1", b"s1"))
+            await until(lambda: len(server.connections) == 2)
+            await until(lambda: not any(connection.reading for connection in server.connections))
+            slots = list(holder.slots.values())
+            gone.close()
+
+            def seen() -> bool:
+                if seen_by == "a look":
+                    for slot in slots:
+                        slot.look()
+                return len(server.connections) == 1
+
+            async with asyncio.timeout(5):
+                await until(seen)
+            assert sorted(holder.gone) == [f"g{number:04}" for number in range(clients.MOST_WAITING)]
+            for _ in range(20):
+                assert seen()  # the other one stays, whose requests lie as deep
+                await asyncio.sleep(0.002)
+
+    in_loop(scenario)
+
+
+def test_what_was_read_ahead_is_not_kept_once_it_is_taken() -> None:
+    """Otherwise one connection after another would keep as much as all together may read ahead."""
+
+    async def scenario() -> None:
+        async with served(memory=16 * 2**20) as (server, holder, port):
+            peer, count = await connect(port), 10_000
+            peer.writer.write(b"".join(encode(*request(b"%05d" % number)) for number in range(count)))
+            await until(lambda: server.ahead > 7 * clients.MOST_AHEAD)
+            holder.reply = b"-BUSY\r\n"
+            (connection,) = server.connections
+            for slot in list(holder.slots.values()):
+                slot.answer(b"-BUSY\r\n")
+            await until(lambda: len(holder.slots) == count and server.ahead == 0)
+            assert sys.getsizeof(connection.reader._buffer) < 2 * (MOST_TAKEN + clients.READ_BYTES)
+
+    in_loop(scenario)
+
+
+def test_what_all_connections_read_ahead_together_is_bounded() -> None:
+    """Each may go on with its own part; one that has more goes on once others have left room."""
+
+    async def scenario() -> None:
+        async with served(memory=8 * clients.MOST_AHEAD) as (server, holder, port):
+            flood = b"".join(encode(*request(b"%05d" % number)) for number in range(10_000))
+            first, second = await connect(port), await connect(port)
+            first.writer.write(flood)
+            await until(lambda: server.connections and not next(iter(server.connections)).reading)
+            second.writer.write(flood)
+            await until(lambda: len(server.connections) == 2)
+            one, other = server.connections
+            await until(lambda: not one.reading and not other.reading)
+            assert one.reader.held + other.reader.held == server.ahead
+            assert server.most_ahead < server.ahead <= server.most_ahead + clients.MOST_AHEAD + 65536
+            assert clients.MOST_AHEAD < other.reader.held <= clients.MOST_AHEAD + clients.READ_BYTES
+            one.close()
+            await until(lambda: other.reader.held > server.most_ahead)
+            other.close()
+            assert server.ahead == 0
 
     in_loop(scenario)
 
@@ -154,10 +270,11 @@
             leaver.send(*request(b"waits", plan=b"basic", spread=9))
             await until(lambda: world.counter.got)
             leaver.close()
-            assert await world.ask(other, id=b"1") == b"value"
+            another = b"00000000b4d65522"  # that does not wait for the same answer
+            assert await world.ask(other, id=b"1", customer=another) == b"value"
             answered.set()
             for number in (b"2", b"3"):
-                assert await world.ask(other, id=number) == b"value"
+                assert await world.ask(other, id=number, customer=another) == b"value"
             assert [command[2] for command in world.backends[0].got] == [b"1", b"2", b"3"]
 
     in_loop(scenario)
@@ -214,6 +331,187 @@
     in_loop(scenario)
 
 
+@pytest.mark.parametrize("end", ["close", "reset", "end of sending"])
+def test_a_client_has_gone_however_it_ends_its_connection(end: str) -> None:
+    """Also with answers to come; the pages know no other way to call a request off."""
+
+    async def scenario() -> None:
+        async with served() as (server, holder, port):
+            commands = request(b"waits"), (b"CANCEL", b"waits"), request(b"too")
+            far = knock(port, b"".join(encode(*command) for command in commands))
+            await until(lambda: len(holder.slots) == 2)
+            assert not holder.gone  # no command ends a request
+            if end == "end of sending":
+                far.shutdown(socket.SHUT_WR)
+            else:
+                if end == "reset":
+                    far.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                far.close()
+            await until(lambda: not server.connections)
+            assert holder.gone == ["waits", "too"]
+            if end == "end of sending":
+                assert await (await heard(far)).receive() is None
+
+    in_loop(scenario)
+
+
+FIRST, SECOND = 7, 8  # backends
+HELD_UP_S = 0.12  # more than the 0.1 s in which an attempt may still begin for a client that has left
+
+
+class Waiting(Module):
+    """Holds all requests back until something happens, then sends each on to the second backend."""
+
+    def __init__(self, event: str) -> None:
+        super().__init__()
+        self.event, self.waiting = event, list[str]()
+
+    def handle(self, now: float, event: api.Event) -> list[api.Action]:
+        super().handle(now, event)
+        match event:
+            case api.RequestArrived(request) if request in ("before", "after"):
+                return [api.Send(request, SECOND)]
+            case api.RequestArrived(request):
+                self.waiting.append(request)
+                if self.event in ("a failed attempt", "a timer"):
+                    return [api.Send(request, FIRST)]
+                if self.event == "the counter's reply":
+                    return [api.Count("all", 1.0, 1_000.0)]
+                return [api.Send(request, SECOND)]
+            case api.TimerFired(request) | api.AttemptEnded(request, finished=False):
+                return [api.Send(request, SECOND)]
+            case api.CounterReplied():
+                waiting, self.waiting = self.waiting, []
+                return [api.Send(request, SECOND) for request in waiting]
+        return []
+
+
+async def among_the_events(act: Callable[[], None]) -> None:
+    """Act among what the event loop reads in one turn: its timers come next, and then what it reads anew."""
+    loop, done = asyncio.get_running_loop(), asyncio.Event()
+    near, far = socket.socketpair()
+
+    def readable() -> None:
+        loop.remove_reader(near)
+        act()
+        done.set()
+
+    loop.add_reader(near, readable)
+    far.send(b"go")
+    await done.wait()
+    near.close()
+    far.close()
+
+
+def flushing(counter: CounterClient) -> bool:
+    return any(lane.flushing or lane.waiting or lane.connecting for lane in counter.lanes)
+
+
+@pytest.mark.parametrize("count", [1, 300])
+@pytest.mark.parametrize("event", ["a failed attempt", "a timer", "the counter's reply", "the request"])
+def test_an_attempt_is_not_begun_for_a_client_whose_end_is_not_read_yet(
+    event: str, count: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Held up, the event loop finds both in one turn, and what lets the request go on first.
+
+    A timer or a reply brings the first attempt or a second copy, a failed attempt the next one.
+    """
+    monkeypatch.setattr("roadpulley.counter.SILENT_MS", math.inf)
+
+    async def scenario() -> None:
+        loop, first, tally, second = asyncio.get_running_loop(), Raw(), Raw(), Backend()
+        await second.start()
+        counter = CounterClient(loop, Timers(loop), tally.address, 60_000.0)
+        module = Waiting(event)
+        async with joined(module, counter, 2 * count + 10) as (driver, _, server, port):
+            driver.backends.update(FIRST, first.address, api.BackendState.READY)
+            driver.backends.update(SECOND, (LOCAL, second.port), api.BackendState.READY)
+            other = await connect(port)
+            other.send(*request(b"before"))  # leaves a connection on which an attempt is written at once
+            assert await other.receive() == b"value"
+            await rested(driver.backends)
+            leavers: list[socket.socket] = []
+            near: list[socket.socket] = []
+            ids = [b"%d" % number for number in range(count)]
+            if event != "the request":
+                for id in ids:
+                    leavers.append(knock(port, encode(*request(id))))
+                    await until(lambda: len(driver.requests) == len(leavers))
+                    if event != "the counter's reply":
+                        near.append(await first.taken(1))
+                if event == "the counter's reply":
+                    near.append((await loop.sock_accept(tally.listener))[0])
+                    near[0].setblocking(True)
+                    await until(lambda: len(counter.calls["all"]) == count and not flushing(counter))
+
+            def held_up() -> None:
+                if event == "the request":
+                    leavers.extend(knock(port, encode(*request(id))) for id in ids)
+                elif event == "a failed attempt":
+                    for each in near:
+                        each.sendall(b"-ERR failed\r\n")
+                elif event == "the counter's reply":
+                    near[0].sendall(b"ok 1\r\n")
+                else:
+                    for id in ids:
+                        told = functools.partial(driver.give, api.TimerFired(id.decode()))
+                        driver.timers.at(now_ms(), told)
+                for leaver in leavers:
+                    leaver.close()
+                time.sleep(HELD_UP_S)
+
+            await among_the_events(held_up)
+            await until(lambda: len(module.of(api.RequestLapsed)) == count)
+            other.send(*request(b"after"))
+            assert await other.receive() == b"value"
+            assert [command[2] for command in second.got] == [b"before", b"after"]
+            assert not driver.requests and not driver.attempts and not driver.left
+            for each in near:
+                each.close()
+        counter.close()
+        first.listener.close()
+        tally.listener.close()
+        await second.stop()
+
+    in_loop(scenario)
+
+
+def test_a_connection_that_comes_up_as_its_client_leaves_is_not_written_to() -> None:
+    """Both are found in one turn, the connection first: it took its time behind a full queue."""
+
+    async def scenario() -> None:
+        with contextlib.ExitStack() as stack:
+            busy = stack.enter_context(socket.create_server((LOCAL, 0), backlog=0))
+            address = busy.getsockname()
+            fillers = [stack.enter_context(socket.socket()) for _ in range(3)]
+            for filler in fillers:
+                filler.setblocking(False)
+                filler.connect_ex(address)
+            async with joined() as (driver, module, server, port):
+                driver.backends.update(FIRST, address, api.BackendState.READY)
+                module.answers[api.RequestArrived] = [api.Send("waits", FIRST)]
+                leaver = knock(port, encode(*request(b"waits")))
+                await until(lambda: driver.attempts)
+                (connection,) = driver.backends.connections
+                assert not connection.up
+                for filler in fillers:
+                    filler.close()
+                busy.settimeout(10.0)
+                while True:  # nobody else has a turn until it is up
+                    near, peer = busy.accept()
+                    stack.enter_context(near)
+                    if peer == connection.socket.getsockname():
+                        break
+                leaver.close()
+                time.sleep(HELD_UP_S)
+                await until(lambda: not server.connections)
+                assert not driver.backends.connections and not driver.attempts
+                near.settimeout(10.0)
+                assert near.recv(1) == b""
+
+    in_loop(scenario)
+
+
 # ---- SIGTERM ----
 
 
