Keep what may have run already off cold backends while a warm one may take it

Ruled out: the ramp itself (with work of the mean at most 0.48 of the line is used). Line at fault: `Gateway.pick` draws the cold lot for further attempts as for first ones, and those come of many gateways at once where backends hang.

Change: an attempt that may follow one that ran takes part in the cold lot only where no warm backend may serve it.

The test without it finds further attempts at four of six cold backends.

--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -471,11 +471,12 @@
         Danger: sent more than it can do by all gateways together, a cold backend falls over. Each gateway
         gives it an even part of its own requests times less than the least it can do, so that the sum over
         all gateways stays under that part of a warm one's load; twice, as one long request is much of it.
+        What may have run already comes of many gateways at once, where many are slow: that goes to warm ones.
         """
         may = [b for b in self.subset if self.may_go(now, request, b)]
         may = may or self.others(now, request)
         warm = [b for b in may if b.warmth(now) >= 1]
-        if len(warm) < len(may):
+        if len(warm) < len(may) and not (request.ran and warm):
             b = self.random.choice(may)
             part = b.warmth(now) * min(1.0, b.warmth(now) * self.settings.rules.fall_multiple / 2)
             if b.warmth(now) < 1 and self.random.random() < part and self.failing(now, b, request) < 0.5:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -383,3 +383,23 @@
     actions = [*ends, *w.end(leaves, api.Outcome.FAILED), *w.pass_time(3_000)]
     assert all(send.request == stays.request for send in sends(actions))
     assert duplicate or len(sends(ends)) == 1
+
+
+def further_attempts(entries: list[api.BackendEntry]) -> list[int]:
+    """Where the second attempts go of requests whose first one may have run."""
+    went = []
+    for seed in range(40):
+        w = World(entries, seed=seed, plans=(api.Plan("free"),))
+        for number in range(5):
+            for first in sends(w.ask(plan="free", customer=f"c{number}")):
+                went += [again.backend for again in sends(w.end(first, api.Outcome.RESET, finished=False))]
+            w.pass_time(100)
+    return went
+
+
+def test_what_may_have_run_goes_on_to_warm_backends_where_there_are_some() -> None:
+    """Danger: where many fail, further attempts of all gateways come on top of a cold one's part."""
+    cold = [entry(number, started=5_000) for number in range(10, 16)]  # half warm
+    warm = [entry(1), entry(2)]
+    assert set(further_attempts([*warm, *cold])) == {1, 2}
+    assert further_attempts(cold), "and where there are none, to cold ones"
