Weigh a bounded number of backends for each attempt, also where the slice is large

Seen: at 3,700 gateways before 39,000 backends a slice holds 152, and each attempt weighs all of them: 204 us a choice, 321 us with one attempt in twenty failing (benchmarks/slopes.py pick), most of it in `mark`. Line at fault: `Gateway.pick`.

Change: of a slice of more than 64, 32 are drawn by chance for each attempt; smaller ones are weighed whole, as now.

--- a/mintford/rules.py
+++ b/mintford/rules.py
@@ -33,6 +33,7 @@
 MARK_MS, MARK_MEETINGS = 4_000.0, 5.0  # a mark fades to a third in this time or in so many usual gaps
 ERROR_COST = 8.0  # how much failing always raises a backend's cost: clearly behind any healthy peer
 CHANCE = 0.25  # how far chance spreads the choice: half the cost is chosen sixteen times as often
+SCORED, DRAWN = 64, 32  # the largest slice that each attempt weighs whole; what is drawn of a larger one
 KEPT = 512  # backends beyond the slice that what was seen of them is kept for
 RETRY_SHARE, RETRY_CALM, RETRY_STORE = 0.15, 0.6, 10.0  # extra attempts earned a request; when calm; the most
 PATIENCE = 0.4  # of the aim: how long to wait before anything is known
@@ -473,7 +474,8 @@
         all gateways stays under that part of a warm one's load; twice, as one long request is much of it.
         What may have run already comes of many gateways at once, where many are slow: that goes to warm ones.
         """
-        may = [b for b in self.subset if self.may_go(now, request, b)]
+        few = self.subset if len(self.subset) <= SCORED else self.random.sample(self.subset, DRAWN)
+        may = [b for b in few if self.may_go(now, request, b)]
         may = may or self.others(now, request)
         warm = [b for b in may if b.warmth(now) >= 1]
         if len(warm) < len(may) and not (request.ran and warm):
--- a/scale/control.py
+++ b/scale/control.py
@@ -117,9 +117,11 @@
             note("start_collect_ms", bench.start["collect_ms"])
             note("start_rss_mb", bench.start["rss_mb"])
             note("start_bytes", (await bench.read())["discovery"]["sent"])
+            idle_ms = await bench.idle()
+            note("idle_ms", idle_ms)
             taken = await bench.singles()
             for ms in taken["each_ms"]:
-                note("one_cpu_ms", ms)
+                note("one_cpu_ms", max(0.0, ms - idle_ms))
             taken = await bench.told([self.burst])
             note("burst_cpu_ms", taken["cpu_ms"])
             note("burst_changes", min(self.burst, size - 1))
@@ -216,6 +218,13 @@
     alone: int  # changes that come alone
     start: dict[str, Any] = field(default_factory=dict)
 
+    async def idle(self) -> float:
+        """Milliseconds of processor time without changes, in the time between two that come alone."""
+        await self._begin()
+        await asyncio.sleep(self.alone / SINGLE_RATE)
+        taken = await self.child.call("end", patience=0.0)
+        return float(taken["cpu_ms"]) / self.alone
+
     async def singles(self) -> dict[str, Any]:
         """Changes that come one at a time."""
         await self._begin()
@@ -305,7 +314,8 @@
 
 
 ROWS = (
-    ("one change, processor time", "one_cpu_ms"),
+    ("without changes, processor time in as much time", "idle_ms"),
+    ("one change alone, processor time beyond that", "one_cpu_ms"),
     ("one change, hold-up", "one_each_hold_ms"),
     ("burst in one message, changes", "burst_changes"),
     ("burst in one message, processor time", "burst_cpu_ms"),
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -13,7 +13,7 @@
 
 from mintford import interface as api
 from mintford.membership import AT_ONCE, COVER, STEP, SUBSET, Membership, Order
-from mintford.rules import KEPT, Gateway
+from mintford.rules import DRAWN, KEPT, Backend, Gateway, Request
 
 READY, DRAINING, GONE = api.BackendState.READY, api.BackendState.DRAINING, api.BackendState.GONE
 
@@ -272,7 +272,7 @@
     for number, part in enumerate(parts):
         scope, first, last = api.ListScope.FULL, number == 0, number == len(parts) - 1
         actions = gateway.handle(1_000.0, api.BackendsChanged(scope, tuple(part), first, last))
-        assert actions == ([api.SetTimer(0.0, "order")] if last else [])
+        assert actions == ([api.SetTimer(0.0, "order")] if last and count > AT_ONCE else [])
     while actions:
         actions = gateway.handle(1_000.0, api.TimerFired("order"))
     return gateway
@@ -303,3 +303,30 @@
     (first,) = sends(world.ask("order"))
     (again,) = sends(world.end(first, api.Outcome.RESET, finished=False))
     assert again.backend % 100 == first.backend % 100 and again.backend != first.backend
+
+
+@pytest.mark.parametrize(("count", "scored"), [(200, 12), (15_000, 59), (39_000, DRAWN)])
+def test_a_choice_scores_a_bounded_number_of_backends(
+    count: int, scored: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Danger: the slice grows with the list, and each request would weigh all of it."""
+    gateway, costs = large(count), []
+    cost = Gateway.cost
+
+    def counted(self: Gateway, now: float, b: Backend, request: Request) -> float:
+        costs.append(b.id)
+        return cost(self, now, b, request)
+
+    monkeypatch.setattr(Gateway, "cost", counted)
+    used, weighed = set(), set()
+    for number in range(300):
+        costs.clear()
+        asked = api.RequestArrived(f"r{number}", "view", "free", "c", 9_000.0, 1.0, 2, 0)
+        (sent,) = sends(gateway.handle(2_000.0 + number, asked))
+        assert len(costs) == scored
+        weighed.update(costs)
+        used.add(sent.backend)
+        ended = api.AttemptEnded(sent.request, 0, sent.backend, api.Outcome.OK, 5.0, True)
+        gateway.handle(2_001.0 + number, ended)
+    assert weighed == {b.id for b in gateway.subset}, "each of the slice has its chances"
+    assert len(used) > min(60, 0.8 * len(gateway.subset))
