--- a/tests/test_told_in_time.py
+++ b/tests/test_told_in_time.py
@@ -70,11 +70,16 @@
 Trouble = Callable[[Service, module.Discovery], Awaitable[float]]
 
 
-async def refused_again_and_again(service: Service, _: module.Discovery) -> float:
-    service.mode = "refuse"
+async def failing(service: Service, mode: str, calls: int) -> None:
+    """Until so many calls have failed so, the last of them just now."""
+    service.mode = mode
     service.hang_up()
-    for _turn in range(5):
+    for _ in range(calls):
         await service.next_call()
+
+
+async def refused_again_and_again(service: Service, _: module.Discovery) -> float:
+    await failing(service, "refuse", 5)
     service.mode = "serve"
     return service.learn()
 
@@ -84,21 +89,14 @@
     return await refused_again_and_again(service, client)
 
 
-async def a_call_open_and_silent(service: Service, _: module.Discovery) -> float:
-    service.mode = "silent"
-    service.hang_up()
-    await service.next_call()
+async def a_call_open_and_silent(service: Service, _: module.Discovery, calls: int = 1) -> float:
+    await failing(service, "silent", calls)
     service.mode = "serve"
     return service.learn()
 
 
-async def calls_silent_again_and_again(service: Service, _: module.Discovery) -> float:
-    service.mode = "silent"
-    service.hang_up()
-    for _turn in range(5):
-        await service.next_call()
-    service.mode = "serve"
-    return service.learn()
+async def calls_silent_again_and_again(service: Service, client: module.Discovery) -> float:
+    return await a_call_open_and_silent(service, client, 5)
 
 
 async def the_open_watch_fallen_silent(service: Service, _: module.Discovery) -> float:
@@ -133,10 +131,7 @@
 
 
 async def a_new_address_amid_refusals(service: Service, client: module.Discovery) -> float:
-    service.mode = "refuse"
-    service.hang_up()
-    for _turn in range(3):
-        await service.next_call()
+    await failing(service, "refuse", 3)
     other = Service(service.answer_s)
     await other.start()
     at = other.learn()
@@ -145,9 +140,7 @@
 
 
 async def a_new_address_that_refuses(service: Service, client: module.Discovery) -> float:
-    service.mode = "silent"
-    service.hang_up()
-    await service.next_call()
+    await failing(service, "silent", 1)
     other = Service(service.answer_s)
     other.refusals = 1
     await other.start()
