--- a/roadpulley/backends.py
+++ b/roadpulley/backends.py
@@ -21,7 +21,7 @@
 from mintford.interface import BackendState, Outcome
 
 from .clock import Timer, Timers, now_ms
-from .config import Address
+from .config import Address, parse_address
 from .resp import Malformed, parse_answer
 
 log = logging.getLogger(__name__)
@@ -298,7 +298,9 @@
         self.idle_ms, self.drain_grace, self.most = keepalive * IDLE_SHARE, drain_grace, most
         self.most_held, self.held = memory, 0  # bytes of answers that are not whole, of all connections
         self.freshness = Freshness()
-        self.addresses: dict[int, Address] = {}  # of all that are listed
+        # Of all that are listed, as texts: in a dictionary of tuples the garbage collector may visit all of
+        # them after a change.
+        self.addresses: dict[int, str] = {}
         self.hosts: dict[int, Host] = {}  # of these, those with connections, and others that drain
         self.connections: set[Connection] = set()
         self.buffer = bytearray(READ_BYTES)  # of all connections: each takes out at once what it has read
@@ -312,15 +314,15 @@
     def update(self, backend: int, address: Address, state: BackendState) -> None:
         if state is not BackendState.READY:
             return self.retire(backend)
-        self.addresses[backend] = address
+        self.addresses[backend] = f"{address[0]}:{address[1]}"
         if host := self.hosts.get(backend):
             if host.address != address:
                 self.close_idle(host)
                 host.address = address
             host.cutoff = float("inf")
 
-    def keep(self, addresses: dict[int, Address]) -> None:
-        """Take a whole list: what is not in it is gone."""
+    def keep(self, addresses: dict[int, str]) -> None:
+        """Take a whole list, of those in `addresses`: what is not in it is gone."""
         for backend in self.hosts.keys() - addresses.keys():
             self.retire(backend)
         self.addresses = addresses
@@ -336,7 +338,7 @@
     def send(self, attempt: Attempt) -> None:
         host = self.hosts.get(attempt.backend)
         if host is None and (address := self.addresses.get(attempt.backend)):
-            host = self.hosts[attempt.backend] = Host(address)
+            host = self.hosts[attempt.backend] = Host(parse_address(address))
         if host is None or not host.takes_new(now_ms()):
             return attempt.end(Outcome.CONNECT)
         now = now_ms()
--- a/roadpulley/driver.py
+++ b/roadpulley/driver.py
@@ -13,7 +13,6 @@
 from .backends import Attempt, Backends
 from .clients import Command, Slot
 from .clock import Timer, Timers, now_ms
-from .config import Address
 from .counter import Counter
 from .discovery import Member
 from .resp import bulk
@@ -55,7 +54,7 @@
         self.timers, self.backends, self.counter, self.max_open = timers, backends, counter, max_open
         self.requests: dict[str, Request] = {}
         self.attempts: dict[tuple[str, int], Attempt] = {}  # out, also those of requests that have ended
-        self.listed: dict[int, Address] = {}  # what has come of a whole list
+        self.listed: dict[int, str] = {}  # addresses, of what has come of a whole list
         self.events: deque[api.Event] = deque()
         self.left: dict[str, Request] = {}  # their clients have left, which the module has not heard yet
         self.busy = self.ending = False
@@ -95,8 +94,8 @@
         for member in members:
             self.backends.update(member.entry.backend, member.address, member.entry.state)
         if scope is not api.ListScope.CHANGES:
-            ready = (m for m in members if m.entry.state is api.BackendState.READY)
-            self.listed.update((m.entry.backend, m.address) for m in ready)
+            ready = (m.entry.backend for m in members if m.entry.state is api.BackendState.READY)
+            self.listed.update((backend, self.backends.addresses[backend]) for backend in ready)
             if last:
                 self.backends.keep(self.listed)
                 self.listed = {}
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -479,7 +479,7 @@
             made.sweep()
             assert not made.hosts
             assert (await Try(made, 7).result())[0] is Outcome.OK
-            made.keep({number: listed[number] for number in range(7)})
+            made.keep({number: made.addresses[number] for number in range(7)})
             assert (await Try(made, 9).result())[0] is Outcome.CONNECT, "the whole list leaves it out"
             assert not made.hosts[7].idle and made.hosts[7].cutoff < float("inf"), "no more than its grace"
 
