--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -23,36 +23,52 @@
 from collections.abc import Callable, Iterable
 from functools import partial
 
-from mintford import interface as api
-from mintford.rules import Gateway
-from mintford.wirehost import read_settings
-from roadpulley.backends import Backends
-from roadpulley.backoff import Backoff
-from roadpulley.clock import Timers
-from roadpulley.discovery import AT_ONCE, host_number, read_members
-from roadpulley.jsonlines import read_parts
-
-VIEW = api.RequestClass("timetable-read", aim=750, deadline=2500, effect=api.Effect.SAFE)
-RULES = api.SafetyRules(drain_grace=500, start_capacity=0.18, warm_within=14_000, fall_multiple=4)
+from gateway.network.backend_pool import BackendPool
+from gateway.network.backoff import Backoff
+from gateway.network.endpoint_watch import AT_ONCE, backend_id_of, parse_members
+from gateway.network.json_stream import iterate_array
+from gateway.network.timers import TimerQueue
+from gateway.policy.actions import IncrementCounter, SetTimer, StartAttempt
+from gateway.policy.events import (
+    AttemptEnded,
+    ClientDisconnected,
+    CounterResponse,
+    Endpoint,
+    EndpointState,
+    EndpointUpdate,
+    Event,
+    Outcome,
+    RequestArrived,
+    TimerFired,
+    UpdateKind,
+)
+from gateway.policy.policy import GatewayPolicy
+from gateway.policy.settings import Idempotency, Plan, RequestClass, SafetyRules, Settings
+from gateway.policy.timers import TimerKind, TimerToken
+from gateway.settings_document import parse_settings
+
+VIEW = RequestClass(
+    "timetable-read", latency_objective_ms=750, deadline_ms=2500, idempotency=Idempotency.IDEMPOTENT
+)
+RULES = SafetyRules(drain_grace_ms=500, initial_capacity=0.18, slow_start_ms=14_000, overload_multiple=4)
 START = 1_790_000_000_000.0  # Unix milliseconds: the counter's names hold a period's number
 ANSWER_MS, WIRE_MS = 50.0, 1.0
-FREE = api.Plan("free")
+FREE = Plan("free")
 REQUEST = "0123456789abcdef"
 
 
-def settings(plan: api.Plan = FREE, **changes: object) -> api.Settings:
+def settings(plan: Plan = FREE, **changes: object) -> Settings:
     values: dict[str, object] = dict(
-        index=0, gateways=1, zone="a", classes=(VIEW,), plans=(plan,), rules=RULES, max_attempts=3,
-        can_cancel=True, max_retry_after=1000.0, count_wait=50.0,
+        gateway_index=0, gateway_count=1, zone="a", request_classes=(VIEW,),
+        plans=(plan,), safety_rules=RULES, max_attempts=3,
+        cancellation_supported=True, max_retry_after_ms=1000.0, counter_timeout_ms=50.0,
     )  # fmt: skip
-    return api.Settings(**(values | changes))  # type: ignore[arg-type]
+    return Settings(**(values | changes))  # type: ignore[arg-type]
 
 
-def entries(number: int, started: float = 0.0) -> tuple[api.BackendEntry, ...]:
-    ready = api.BackendState.READY
-    return tuple(
-        api.BackendEntry(host_number(f"s-{i:08x}"), "a", i // 4, started, ready) for i in range(number)
-    )
+def entries(number: int, started: float = 0.0) -> tuple[Endpoint, ...]:
+    ready = EndpointState.READY
+    return tuple(Endpoint(backend_id_of(f"s-{i:08x}"), "a", i // 4, started, ready) for i in range(number))
 
 
 def row(*cells: object) -> None:
@@ -89,19 +105,21 @@
 class Loop:
     """Gateways in virtual time, a counter that answers each call, and backends that serve all."""
 
-    def __init__(self, gateways: int, plan: api.Plan, seed: int = 1) -> None:
+    def __init__(self, gateways: int, plan: Plan, seed: int = 1) -> None:
         self.now, self.serial, self.chance = START, 0, random.Random(seed)
         self.plan = plan
         self.queue: list[tuple[float, int, Callable[[], None]]] = []
         self.gateways = [
-            Gateway(settings(plan, index=i, gateways=gateways, may_count=True), seed + i)
+            GatewayPolicy(
+                settings(plan, gateway_index=i, gateway_count=gateways, counter_available=True), seed + i
+            )
             for i in range(gateways)
         ]
         self.numbers: dict[str, float] = {}
         self.counter_up = True
         self.seen: Tally[str] = Tally()
         for index in range(gateways):
-            self.give(index, api.BackendsChanged(api.ListScope.FULL, entries(8)))
+            self.give(index, EndpointUpdate(UpdateKind.SNAPSHOT, entries(8)))
 
     def later(self, delay: float, act: Callable[[], None]) -> None:
         self.serial += 1
@@ -121,12 +139,12 @@
             self.later(self.chance.expovariate(rate) * 1000, ask)
             self.serial += 1
             self.seen["asked"] += 1
-            event = api.RequestArrived(
+            event = RequestArrived(
                 f"{self.serial:016x}",
                 VIEW.name,
                 self.plan.name,
                 name,
-                self.now + VIEW.deadline,
+                self.now + VIEW.deadline_ms,
                 1.0,
                 len(at),
                 at[0],
@@ -135,24 +153,24 @@
 
         self.later(self.chance.expovariate(rate) * 1000, ask)
 
-    def give(self, index: int, event: api.Event) -> None:
+    def give(self, index: int, event: Event) -> None:
         for action in self.gateways[index].handle(self.now, event):
             match action:
-                case api.SetTimer(delay, token):
-                    self.later(delay, partial(self.give, index, api.TimerFired(token)))
-                case api.Count(name, amount, life):
+                case SetTimer(delay, token):
+                    self.later(delay, partial(self.give, index, TimerFired(token)))
+                case IncrementCounter(name, amount, life):
                     self.count(index, name, amount, life)
-                case api.Send(request, backend):
+                case StartAttempt(request, backend):
                     self.seen["sent"] += 1
-                    ended = api.AttemptEnded(request, 0, backend, api.Outcome.OK, ANSWER_MS, True)
+                    ended = AttemptEnded(request, 0, backend, Outcome.OK, ANSWER_MS, True)
                     self.later(ANSWER_MS, partial(self.give, index, ended))
 
     def count(self, index: int, name: str, amount: float, life: float) -> None:
         self.seen["calls"] += 1
-        reply = api.CounterReplied(name, api.Outcome.CONNECT, 0.0)
+        reply = CounterResponse(name, Outcome.CONNECT_ERROR, 0.0)
         if self.counter_up:
             total = self.numbers[name] = self.numbers.get(name, 0.0) + amount
-            reply = api.CounterReplied(name, api.Outcome.OK, total)
+            reply = CounterResponse(name, Outcome.OK, total)
             self.seen["bytes"] += len(f"tally {name} {amount:.6f} {int(life)}\r\n") + len(
                 f"ok {total:.7g}\r\n"
             )
@@ -179,35 +197,35 @@
     """A gateway that knows so many."""
 
     def __init__(self, number: int, burst: int, spread: int, count: bool) -> None:
-        plan = api.Plan("plan", rate=12.0, burst=burst, beyond_costs=1.0)
-        self.gateway = Gateway(settings(plan, gateways=spread, may_count=count), 1)
+        plan = Plan("plan", rate=12.0, burst=burst, over_quota_cost=1.0)
+        self.gateway = GatewayPolicy(settings(plan, gateway_count=spread, counter_available=count), 1)
         self.spread, self.now = spread, START
-        self.gateway.handle(START, api.BackendsChanged(api.ListScope.FULL, entries(8)))
+        self.gateway.handle(START, EndpointUpdate(UpdateKind.SNAPSHOT, entries(8)))
         self.ask(range(number))
 
     def ask(self, some: Iterable[int]) -> None:
         """One request of each, a second after the last; a call is due by then, and is answered at once."""
         self.now, self.gateway.tidied_at = self.now + 1_000.0, self.now
         for c in some:
-            arrived = api.RequestArrived(
+            arrived = RequestArrived(
                 REQUEST, VIEW.name, "plan", f"{c:016x}", self.now + 2_500, 1.0, self.spread, 0
             )
             actions = self.gateway.handle(self.now, arrived)
             for action in actions:
-                if isinstance(action, api.Count):
+                if isinstance(action, IncrementCounter):
                     # About half of what time has paid since the period began: it is not the first call.
-                    told = api.CounterReplied(action.name, api.Outcome.OK, 6.0 + action.amount)
+                    told = CounterResponse(action.name, Outcome.OK, 6.0 + action.amount)
                     actions += self.gateway.handle(self.now, told)
-                elif isinstance(action, api.Send):
-                    done = api.AttemptEnded(REQUEST, 0, action.backend, api.Outcome.OK, ANSWER_MS, True)
+                elif isinstance(action, StartAttempt):
+                    done = AttemptEnded(REQUEST, 0, action.backend_id, Outcome.OK, ANSWER_MS, True)
                     self.gateway.handle(self.now + 0.001, done)
 
     def forget(self) -> None:
         """What an arrival does that finds the idle ones due to be forgotten; none is idle."""
         self.gateway.tidied_at = 0.0
-        unknown = api.RequestArrived(REQUEST, VIEW.name, "free", "", self.now + 1.0, 1.0, 1, 0)
+        unknown = RequestArrived(REQUEST, VIEW.name, "free", "", self.now + 1.0, 1.0, 1, 0)
         self.gateway.handle(self.now, unknown)
-        self.gateway.handle(self.now, api.RequestLapsed(REQUEST))
+        self.gateway.handle(self.now, ClientDisconnected(REQUEST))
 
 
 def marks() -> None:
@@ -216,14 +234,14 @@
     head("classes", "bytes", "bytes a mark", "bytes a class in memory", "bytes a class in the configuration")
     for number in (10, 1_000, 75_000):
 
-        def met(number: int = number) -> Gateway:
-            gateway = Gateway(settings(), 1)
-            gateway.handle(START, api.BackendsChanged(api.ListScope.FULL, entries(1)))
+        def met(number: int = number) -> GatewayPolicy:
+            gateway = GatewayPolicy(settings(), 1)
+            gateway.handle(START, EndpointUpdate(UpdateKind.SNAPSHOT, entries(1)))
             for i in range(number):
-                arrived = api.RequestArrived(REQUEST, f"route-{i}", "free", "c", START + i + 2_500, 1.0, 1, 0)
+                arrived = RequestArrived(REQUEST, f"route-{i}", "free", "c", START + i + 2_500, 1.0, 1, 0)
                 for action in gateway.handle(START + i, arrived):
-                    if isinstance(action, api.Send):
-                        done = api.AttemptEnded(REQUEST, 0, action.backend, api.Outcome.OK, 5.0, True)
+                    if isinstance(action, StartAttempt):
+                        done = AttemptEnded(REQUEST, 0, action.backend_id, Outcome.OK, 5.0, True)
                         gateway.handle(START + i + 0.5, done)
             return gateway
 
@@ -232,8 +250,8 @@
         row(number, size, size // number, told // number, len(json.dumps(raw)) // number)
 
 
-def configured(raw: dict[str, object]) -> Gateway:
-    return Gateway(read_settings(raw), 1)
+def configured(raw: dict[str, object]) -> GatewayPolicy:
+    return GatewayPolicy(parse_settings(raw), 1)
 
 
 def raw_class(number: int) -> dict[str, object]:
@@ -259,25 +277,25 @@
     """A gateway at 270 requests a second, whose slice is all that it is told of."""
 
     def __init__(self, size: int, failing: float) -> None:
-        self.gateway, self.now, self.out = Gateway(settings(), 1), START, deque[tuple[str, int, int]]()
+        self.gateway, self.now, self.out = GatewayPolicy(settings(), 1), START, deque[tuple[str, int, int]]()
         self.failing, self.chance = failing, random.Random(1)
-        self.gateway.handle(START, api.BackendsChanged(api.ListScope.FULL, entries(size)))
+        self.gateway.handle(START, EndpointUpdate(UpdateKind.SNAPSHOT, entries(size)))
 
     def serve(self, number: int) -> None:
         for _ in range(number):
             self.now += 1000 / 270
             request = f"{int(self.now * 10):016x}"
-            self.give(api.RequestArrived(request, VIEW.name, "free", "c", self.now + 2_500, 1.0, 1, 0), 0)
+            self.give(RequestArrived(request, VIEW.name, "free", "c", self.now + 2_500, 1.0, 1, 0), 0)
             while len(self.out) > 20:
                 first, attempt, backend = self.out.popleft()
                 ok = self.chance.random() >= self.failing
-                outcome = api.Outcome.OK if ok else api.Outcome.FAILED
-                self.give(api.AttemptEnded(first, attempt, backend, outcome, 75.0, ok), attempt + 1)
+                outcome = Outcome.OK if ok else Outcome.FAILED
+                self.give(AttemptEnded(first, attempt, backend, outcome, 75.0, ok), attempt + 1)
 
-    def give(self, event: api.Event, attempt: int) -> None:
+    def give(self, event: Event, attempt: int) -> None:
         for action in self.gateway.handle(self.now, event):
-            if isinstance(action, api.Send):
-                self.out.append((action.request, attempt, action.backend))
+            if isinstance(action, StartAttempt):
+                self.out.append((action.request_id, attempt, action.backend_id))
 
     def choose(self, number: int) -> None:
         """As for a request that has not been sent anywhere."""
@@ -315,14 +333,14 @@
         most = tracemalloc.get_traced_memory()[1] / 1e6
         tracemalloc.stop()
         listed = entries(number)
-        full = api.BackendsChanged(api.ListScope.FULL, listed)
-        one_changed = api.BackendsChanged(api.ListScope.CHANGES, entries(1, started=START))
+        full = EndpointUpdate(UpdateKind.SNAPSHOT, listed)
+        one_changed = EndpointUpdate(UpdateKind.DELTA, entries(1, started=START))
 
-        def taken(full: api.BackendsChanged = full) -> Gateway:
-            gateway = Gateway(settings(gateways=3_700), 1)
+        def taken(full: EndpointUpdate = full) -> GatewayPolicy:
+            gateway = GatewayPolicy(settings(gateway_count=3_700), 1)
             actions = gateway.handle(START, full)
             while actions:  # the order of a long list is built in steps
-                actions = gateway.handle(START, api.TimerFired("order"))
+                actions = gateway.handle(START, TimerFired(TimerToken(TimerKind.BUILD_ORDER)))
             return gateway
 
         take, gateway = least(taken, 3), taken()
@@ -336,21 +354,21 @@
 
 
 def read_text(text: str) -> None:
-    for hosts in read_parts(text, "hosts", AT_ONCE, {}):
-        read_members(hosts)
+    for hosts in iterate_array(text, "hosts", AT_ONCE, {}):
+        parse_members(hosts)
 
 
 def list_text(*hosts: dict[str, object], whole: bool) -> str:
     return json.dumps({"seq": 1_000_000, "whole": whole, "hosts": hosts}, separators=(",", ":"))
 
 
-async def pooled(listed: tuple[api.BackendEntry, ...]) -> tuple[int, float]:
+async def pooled(listed: tuple[Endpoint, ...]) -> tuple[int, float]:
     """Bytes that the pool keeps of the hosts, and the microseconds of its sweep of each second."""
     loop = asyncio.get_running_loop()
-    pool = Backends(loop, Timers(loop), 250.0, 15_000.0, 500.0, 256, 1 << 20)
-    update, up = pool.update, api.BackendState.READY
+    pool = BackendPool(loop, TimerQueue(loop), 250.0, 15_000.0, 500.0, 256, 1 << 20)
+    update, up = pool.update, EndpointState.READY
     size = held(
-        lambda: [update(e.backend, (f"10.0.{i >> 8}.{i & 255}", i), up) for i, e in enumerate(listed)]
+        lambda: [update(e.backend_id, (f"10.0.{i >> 8}.{i & 255}", i), up) for i, e in enumerate(listed)]
     )
     swept = least(pool.sweep)
     pool.close()
@@ -366,7 +384,7 @@
     )  # fmt: skip
     for spread in (2, 12, 100, 400):
         for asks, rate, burst in ((3.3, 11.0, 22.0), (3.3, 3.7, 7.4), (3.3, 1.1, 2.2), (0.3, 1.0, 2.0)):
-            loop = Loop(spread, api.Plan("plan", rate=rate, burst=burst, beyond_costs=1.0))
+            loop = Loop(spread, Plan("plan", rate=rate, burst=burst, over_quota_cost=1.0))
             for number in range(math.ceil(4_000 / 20 / asks)):
                 loop.customer(f"{number:016x}", asks, list(range(spread)))
             loop.play(20)
@@ -417,7 +435,7 @@
     names = 12
     for spread in (2, 12, 100, 400, 1_850):
         for asks, rate, burst in ((3.0, 3.0, 6.0), (12.0, 3.0, 6.0)):
-            loop = Loop(spread, api.Plan("plan", rate=rate, burst=burst, beyond_costs=1.0))
+            loop = Loop(spread, Plan("plan", rate=rate, burst=burst, over_quota_cost=1.0))
             for number in range(names):
                 loop.customer(f"{number:016x}", asks, list(range(spread)))
             loop.play(15)
--- a/roadpulley/__main__.py
+++ b/gateway/__main__.py
@@ -1,4 +1,4 @@
-"""Runs one gateway: `python -m roadpulley`, told by LB_CONFIG what to do."""
+"""Runs one gateway: `python -m gateway`, told by LB_CONFIG what to do."""
 
 from __future__ import annotations
 
@@ -16,18 +16,18 @@
 
 import uvloop
 
-from mintford.interface import ListScope, Settings
+from .network.backend_pool import BackendPool
+from .network.backoff import Backoff
+from .network.client_listener import ClientListener, RequestParser
+from .network.configuration import Config, ConfigError, load_config
+from .network.counter_client import Counter
+from .network.dispatcher import Dispatcher
+from .network.endpoint_watch import Discovery, EndpointListError, parse_endpoint_list
+from .network.timers import TimerQueue
+from .policy.events import UpdateKind
+from .policy.settings import Settings
 
-from .backends import Backends
-from .backoff import Backoff
-from .clients import ClientServer, Terms
-from .clock import Timers
-from .config import Config, ConfigError, load_config
-from .counter import Counter
-from .discovery import Discovery, DiscoveryError, read_list
-from .driver import Driver
-
-log = logging.getLogger("roadpulley")
+log = logging.getLogger("gateway")
 
 CLIENT_SHARE, BACKEND_SHARE = 0.5, 0.25  # of the descriptors; the rest is headroom
 # At least so many: 14 of the process itself, 7 for watches that are opened and closed beside each other, 8
@@ -80,8 +80,10 @@
     The place of this gateway is empty until it is back, so it serves on those that it has for as long as an
     answer within its aim can still come before SIGKILL.
     """
-    longest = min(LONGEST_WAIT_S, max((c.deadline for c in settings.classes), default=3_000.0) / 1000)
-    aim = max((c.aim for c in settings.classes), default=3_000.0) / 1000
+    longest = min(
+        LONGEST_WAIT_S, max((c.deadline_ms for c in settings.request_classes), default=3_000.0) / 1000
+    )
+    aim = max((c.latency_objective_ms for c in settings.request_classes), default=3_000.0) / 1000
     return max(STILL_COMING_S, longest + LAST_ANSWER_S - aim), longest + LAST_ANSWER_S
 
 
@@ -109,33 +111,35 @@
     A call of `again` brings a new configuration from `load`.
     """
     loop = asyncio.get_running_loop()
-    timers = Timers(loop)
+    timers = TimerQueue(loop)
     memory = int(config.memory_mb * MEMORY_SHARE * 2**20)
     for_clients, for_backends = shares(config.sockets)
-    backends = Backends(
+    backends = BackendPool(
         loop,
         timers,
         config.connect_timeout,
         config.keepalive,
-        config.settings.rules.drain_grace,
+        config.settings.safety_rules.drain_grace_ms,
         for_backends,
         memory,
     )
-    counter = Counter(loop, timers, config.counter, config.settings.count_wait) if config.counter else None
-    driver = Driver(config.settings, config.seed, timers, backends, counter, config.max_open)
+    counter = (
+        Counter(loop, timers, config.counter, config.settings.counter_timeout_ms) if config.counter else None
+    )
+    driver = Dispatcher(config.settings, config.seed, timers, backends, counter, config.max_open)
 
-    asked, version = config.settings.must_ask_for_list, None
+    asked, version = config.settings.polls_endpoints, None
     if config.known:
         try:
-            known = read_list(config.known)
-        except DiscoveryError as error:
+            known = parse_endpoint_list(config.known)
+        except EndpointListError as error:
             log.error("the list known before cannot be read: %s", error)
         else:
             # It may be old, and what an agent holds counts as told from the first moment: that is read whole.
             version = known.version if asked else None
-            driver.members(ListScope.SAVED, known.members)
-    busy = Backoff(config.settings.gateways, config.ask_every / 1000, random.Random(config.seed))
-    soon = max(SOONEST_S, config.settings.rules.drain_grace / 1000 * GRACES)
+            driver.members(UpdateKind.CACHED, known.members)
+    busy = Backoff(config.settings.gateway_count, config.ask_every / 1000, random.Random(config.seed))
+    soon = max(SOONEST_S, config.settings.safety_rules.drain_grace_ms / 1000 * GRACES)
     discovery = Discovery(config.discovery, version, driver.members, busy, asked, soon)
     watch = loop.create_task(discovery.run())
     stopped = loop.create_task(stop.wait())
@@ -143,11 +147,11 @@
         read = loop.create_task(discovery.read.wait())
         await asyncio.wait({read, watch, stopped}, timeout=AGENT_S, return_when=asyncio.FIRST_COMPLETED)
         read.cancel()
-    server = ClientServer(
+    server = ClientListener(
         loop,
         timers,
         driver,
-        Terms(config.settings),
+        RequestParser(config.settings),
         for_clients,
         memory,
     )
@@ -202,12 +206,12 @@
     )
     path = os.environ.get("LB_CONFIG")
     if not path:
-        print("roadpulley: LB_CONFIG is not set", file=sys.stderr)
+        print("gateway: LB_CONFIG is not set", file=sys.stderr)
         return 2
     try:
         uvloop.run(run(path))
-    except (ConfigError, DiscoveryError) as error:
-        print(f"roadpulley: bad configuration: {error}", file=sys.stderr)
+    except (ConfigError, EndpointListError) as error:
+        print(f"gateway: bad configuration: {error}", file=sys.stderr)
         return 2
     return 0
 
--- a/roadpulley/backends.py
+++ b/gateway/network/backend_pool.py
@@ -18,11 +18,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from mintford.interface import BackendState, Outcome
-
-from .clock import Timer, Timers, now_ms
-from .config import Address, parse_address
-from .resp import Malformed, parse_answer
+from ..policy.events import EndpointState, Outcome
+from .configuration import Address, parse_address
+from .resp import ProtocolError, parse_reply
+from .timers import Timer, TimerQueue, now_ms
 
 log = logging.getLogger(__name__)
 
@@ -37,10 +36,10 @@
 REST_MS = 5.0  # before a connection is used again: what follows its last answer uncalled for shows by then
 
 
-class Freshness:
+class IdleLossEstimator:
     """How long a connection may stand idle before a request on it is likely to be lost, as learned.
 
-    Backends close idle connections at the latest after the time in the settings, and some of them, or what
+    BackendPool close idle connections at the latest after the time in the settings, and some of them, or what
     lies between, drop them unheard after a fraction of it. What becomes of the requests tells: more losses
     than on connections that were new, from some age on, and connections are used no longer than that.
     """
@@ -79,9 +78,9 @@
 
     backend: int
     encode: Callable[[int], bytes]
-    expires: float  # when the client gives up
+    deadline: float  # when the client gives up
     ended: Callable[[Attempt, Outcome, bytes], None]
-    latest: float = math.inf  # when its first byte may be written at the latest
+    start_before: float = math.inf  # when its first byte may be written at the latest
     look: Callable[[], None] | None = None  # gives it up if its client has left
     connection: Connection | None = None
     timer: Timer | None = None  # of its time-out
@@ -101,7 +100,7 @@
     Answers come in order and giving up means closing, so a second attempt would share the first one's fate.
     """
 
-    def __init__(self, pool: Backends, host: Host, attempt: Attempt) -> None:
+    def __init__(self, pool: BackendPool, host: Host, attempt: Attempt) -> None:
         self.pool, self.host, self.address = pool, host, host.address
         self.attempt: Attempt | None = attempt
         self.answer = bytearray()  # what has come of it
@@ -131,7 +130,7 @@
         try:
             self.socket.getpeername()
         except OSError:
-            return self.end(Outcome.CONNECT)
+            return self.end(Outcome.CONNECT_ERROR)
         self._came_up()
 
     def _came_up(self) -> None:
@@ -139,7 +138,7 @@
         if self.timer is not None:
             self.timer.cancel()
         if self.socket.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
-            return self.end(Outcome.CONNECT)
+            return self.end(Outcome.CONNECT_ERROR)
         self.up = True
         self.pool.loop.add_reader(self.fd, self._readable)
         if self.attempt is not None and self.attempt.look is not None:
@@ -159,11 +158,11 @@
         attempt = self.attempt
         assert attempt is not None
         now = now_ms()
-        if now >= min(attempt.expires, attempt.latest) or not self.host.takes_new(now):
+        if now >= min(attempt.deadline, attempt.start_before) or not self.host.takes_new(now):
             self.attempt = None
             self.pool.release(self)
-            return attempt.end(Outcome.IGNORED if now >= attempt.expires else Outcome.CONNECT)
-        self.unsent = memoryview(attempt.encode(max(1, int(attempt.expires - now))))
+            return attempt.end(Outcome.NOT_STARTED if now >= attempt.deadline else Outcome.CONNECT_ERROR)
+        self.unsent = memoryview(attempt.encode(max(1, int(attempt.deadline - now))))
         self._flush()
 
     def _flush(self) -> None:
@@ -172,7 +171,7 @@
         except (BlockingIOError, InterruptedError):
             sent = 0
         except OSError:
-            return self.end(Outcome.CONNECT)  # the last byte did not leave
+            return self.end(Outcome.CONNECT_ERROR)  # the last byte did not leave
         self.unsent = self.unsent[sent:]
         if bool(self.unsent) != self.writing:
             self.writing = not self.writing
@@ -203,8 +202,8 @@
             self.pool.spoilt["no room for it"] += 1
             return self.end(self.broken())
         try:
-            answer = parse_answer(self.answer)
-        except Malformed as error:
+            answer = parse_reply(self.answer)
+        except ProtocolError as error:
             self.pool.spoilt[str(error)] += 1
             return self.end(self.broken())
         if answer is None:
@@ -213,7 +212,7 @@
         outcome, usable = read_error(answer.error)
         if answer.value is not None:
             outcome, usable = Outcome.OK, True
-        if self.unsent and outcome is not Outcome.FULL:
+        if self.unsent and outcome is not Outcome.QUEUE_FULL:
             return self.end(self.broken())  # nobody answers what has not come: it is another's, or noise
         attempt, self.attempt = self.attempt, None
         # Danger: what else comes here would be taken for the answer to the next request.
@@ -230,7 +229,7 @@
 
     def broken(self) -> Outcome:
         """What a break says: a request whose last byte has not left cannot have run, any other may have."""
-        return Outcome.CONNECT if not self.up or self.unsent else Outcome.RESET
+        return Outcome.CONNECT_ERROR if not self.up or self.unsent else Outcome.CONNECTION_RESET
 
     def end(self, outcome: Outcome) -> None:
         """Close, and end the attempt that is on it. The close comes first: never two attempts at once."""
@@ -265,7 +264,7 @@
 def read_error(line: bytes) -> tuple[Outcome, bool]:
     """What an error line says, and whether it is one that leaves its connection usable."""
     if ERROR.fullmatch(line):
-        return (Outcome.FULL if line.startswith(b"BUSY") else Outcome.FAILED), True
+        return (Outcome.QUEUE_FULL if line.startswith(b"BUSY") else Outcome.FAILED), True
     return Outcome.FAILED, False
 
 
@@ -281,23 +280,23 @@
         return now < self.cutoff
 
 
-class Backends:
+class BackendPool:
     """The pools. Decides nothing: it sends where it is told, or says why it cannot."""
 
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
-        timers: Timers,
+        timers: TimerQueue,
         connect_timeout: float,
         keepalive: float,
-        drain_grace: float,
+        drain_grace_ms: float,
         most: int,
         memory: int,
     ) -> None:
         self.loop, self.timers, self.connect_timeout = loop, timers, connect_timeout
-        self.idle_ms, self.drain_grace, self.most = keepalive * IDLE_SHARE, drain_grace, most
+        self.idle_ms, self.drain_grace_ms, self.most = keepalive * IDLE_SHARE, drain_grace_ms, most
         self.most_held, self.held = memory, 0  # bytes of answers that are not whole, of all connections
-        self.freshness = Freshness()
+        self.freshness = IdleLossEstimator()
         # Of all that are listed, as texts: in a dictionary of tuples the garbage collector may visit all of
         # them after a change.
         self.addresses: dict[int, str] = {}
@@ -311,8 +310,8 @@
 
     # ---- the list ----
 
-    def update(self, backend: int, address: Address, state: BackendState) -> None:
-        if state is not BackendState.READY:
+    def update(self, backend: int, address: Address, state: EndpointState) -> None:
+        if state is not EndpointState.READY:
             return self.retire(backend)
         self.addresses[backend] = f"{address[0]}:{address[1]}"
         if host := self.hosts.get(backend):
@@ -330,7 +329,7 @@
     def retire(self, backend: int) -> None:
         self.addresses.pop(backend, None)
         if host := self.hosts.get(backend):
-            host.cutoff = min(host.cutoff, now_ms() + self.drain_grace - CUTOFF_MARGIN_MS)
+            host.cutoff = min(host.cutoff, now_ms() + self.drain_grace_ms - CUTOFF_MARGIN_MS)
             self.close_idle(host)
 
     # ---- attempts ----
@@ -340,7 +339,7 @@
         if host is None and (address := self.addresses.get(attempt.backend)):
             host = self.hosts[attempt.backend] = Host(parse_address(address))
         if host is None or not host.takes_new(now_ms()):
-            return attempt.end(Outcome.CONNECT)
+            return attempt.end(Outcome.CONNECT_ERROR)
         now = now_ms()
         for connection in host.idle[::-1]:  # the last used first, once it has rested
             rested = now - connection.idle_since
@@ -353,18 +352,20 @@
         if len(self.connections) >= self.most:
             self.close_oldest()
         if len(self.connections) >= self.most:
-            return attempt.end(Outcome.CONNECT)  # better one request turned away than no descriptors left
+            return attempt.end(
+                Outcome.CONNECT_ERROR
+            )  # better one request turned away than no descriptors left
         try:
             self.connections.add(Connection(self, host, attempt))
         except OSError as error:
             self.unopened[error.strerror or "unknown"] += 1
-            attempt.end(Outcome.CONNECT)
+            attempt.end(Outcome.CONNECT_ERROR)
 
     def give_up(self, attempt: Attempt, outcome: Outcome) -> None:
         connection = attempt.connection
         if connection is not None:
-            waiting = outcome is Outcome.TIMED_OUT and connection.broken() is Outcome.CONNECT
-            connection.end(Outcome.CONNECT if waiting else outcome)
+            waiting = outcome is Outcome.TIMED_OUT and connection.broken() is Outcome.CONNECT_ERROR
+            connection.end(Outcome.CONNECT_ERROR if waiting else outcome)
         else:
             attempt.end(outcome)
 
--- a/roadpulley/clients.py
+++ b/gateway/network/client_listener.py
@@ -18,10 +18,9 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from mintford import interface as api
-
-from .clock import Timer, Timers, now_ms
-from .resp import CommandReader, Malformed, bulk
+from ..policy.settings import Idempotency, Settings
+from .resp import CommandParser, ProtocolError, bulk
+from .timers import Timer, TimerQueue, now_ms
 
 log = logging.getLogger(__name__)
 
@@ -79,13 +78,13 @@
         return b"*%d\r\n%b%b%b" % (self.length, self.head, bulk(attributes), self.body)
 
 
-class Terms:
+class RequestParser:
     """What the settings let a request name."""
 
-    def __init__(self, settings: api.Settings) -> None:
-        self.classes = {c.name.encode(): c for c in settings.classes}
+    def __init__(self, settings: Settings) -> None:
+        self.request_classes = {c.name.encode(): c for c in settings.request_classes}
         self.plans = {p.name.encode(): p.name for p in settings.plans}
-        self.most_units, self.gateways = settings.most_units, settings.gateways
+        self.max_request_cost, self.gateway_count = settings.max_request_cost, settings.gateway_count
 
     def parse(self, args: list[bytes]) -> Command:
         """Raises ValueError, with the reason, for what is not a request of a known class, plan and size.
@@ -102,26 +101,26 @@
             if not equals or name in given:
                 raise ValueError("malformed attributes")
             given[name] = value
-        kind, plan = self.classes.get(given.get(b"c", b"")), self.plans.get(given.get(b"t", b""))
+        kind, plan = self.request_classes.get(given.get(b"c", b"")), self.plans.get(given.get(b"t", b""))
         if kind is None:
             raise ValueError("unknown class")
         if plan is None:
             raise ValueError("unknown plan")
-        if VERBS[verb.upper()] != (kind.effect is api.Effect.SAFE):
+        if VERBS[verb.upper()] != (kind.idempotency is Idempotency.IDEMPOTENT):
             raise ValueError("class of another command")
         if not CUSTOMER.fullmatch(customer) or (number := int(customer, 16)) >= CUSTOMERS:
             raise ValueError("malformed customer")
         if not NAME.fullmatch(request):
             raise ValueError("malformed id")
-        if kind.effect is api.Effect.KEYED and not NAME.fullmatch(given.get(b"k", b"")):
+        if kind.idempotency is Idempotency.WITH_KEY and not NAME.fullmatch(given.get(b"k", b"")):
             raise ValueError("key missing")
         wait, units = decimal(given, b"d"), decimal(given, b"units")
         spread, first = integer(given, b"spread"), integer(given, b"first")
-        if not 0 < wait <= kind.deadline * LONGEST_WAIT:
+        if not 0 < wait <= kind.deadline_ms * LONGEST_WAIT:
             raise ValueError("time left out of range")
-        if not 0 < units <= self.most_units:
+        if not 0 < units <= self.max_request_cost:
             raise ValueError("units out of range")
-        if not (1 <= spread <= self.gateways and first < self.gateways):
+        if not (1 <= spread <= self.gateway_count and first < self.gateway_count):
             raise ValueError("set out of range")
         at = listed.index(b"d=") if listed.startswith(b"d=") else listed.index(b",d=") + 1
         before, after = listed[: at + 2], listed[at + 2 + len(given[b"d"]) :]
@@ -157,7 +156,7 @@
     return int(text)
 
 
-class Slot:
+class PendingReply:
     """The place of one command among the answers of its connection."""
 
     __slots__ = ("answered", "connection", "reply", "request", "size")
@@ -178,16 +177,16 @@
 
 
 class Handler(Protocol):
-    def on_command(self, command: Command, slot: Slot) -> None: ...
+    def on_command(self, command: Command, slot: PendingReply) -> None: ...
 
     def on_client_gone(self, request: str) -> None: ...
 
 
 class ClientConnection:
-    def __init__(self, server: ClientServer, accepted: socket.socket) -> None:
+    def __init__(self, server: ClientListener, accepted: socket.socket) -> None:
         self.server, self.socket, self.fd = server, accepted, accepted.fileno()
-        self.reader = CommandReader()
-        self.slots: deque[Slot] = deque()
+        self.reader = CommandParser()
+        self.slots: deque[PendingReply] = deque()
         self.held = 0  # bytes of the commands in `slots`
         self.unsent = bytearray()
         self.reading = self.writing = self.closing = self.closed = self.pumping = self.unread = False
@@ -298,7 +297,7 @@
                     return
                 self.due = None
                 self.command(args)
-        except Malformed as error:
+        except ProtocolError as error:
             self.refuse_protocol(str(error))
 
     def _write(self) -> None:
@@ -355,14 +354,14 @@
 
     def refuse_protocol(self, reason: str) -> None:
         # What follows cannot be told from the rest of a command; earlier requests still get their answers.
-        slot = Slot(self)
+        slot = PendingReply(self)
         slot.answered, slot.reply = True, b"-ERR protocol error\r\n"
         self.slots.append(slot)
         self._hear_no_more()
         self.server.refused[reason] += 1
 
     def command(self, args: list[bytes]) -> None:
-        slot = Slot(self, sum(map(len, args)))
+        slot = PendingReply(self, sum(map(len, args)))
         self.held += slot.size
         self.slots.append(slot)
         verb = args[0].upper()
@@ -386,7 +385,7 @@
             slot.answer(b"-ERR unknown command\r\n")
 
     def _hear_no_more(self) -> None:
-        self.closing, self.reader = True, CommandReader()  # what was read ahead is not answered any more
+        self.closing, self.reader = True, CommandParser()  # what was read ahead is not answered any more
 
     # ---- the end ----
 
@@ -443,15 +442,15 @@
                 self.server.handler.on_client_gone(slot.request)
 
 
-class ClientServer:
+class ClientListener:
     """Listens, and bounds the connections of clients and what they may hold."""
 
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
-        timers: Timers,
+        timers: TimerQueue,
         handler: Handler,
-        terms: Terms,
+        terms: RequestParser,
         most: int,
         memory: int,
     ) -> None:
--- a/roadpulley/config.py
+++ b/gateway/network/configuration.py
@@ -7,8 +7,8 @@
 from pathlib import Path
 from typing import Any
 
-from mintford import interface as api
-from mintford.wirehost import read_settings
+from ..policy.settings import Settings
+from ..settings_document import parse_settings
 
 Address = tuple[str, int]
 
@@ -26,7 +26,7 @@
     seed: int
     sockets: int
     memory_mb: int
-    settings: api.Settings
+    settings: Settings
     connect_timeout: float  # milliseconds, as all times here
     keepalive: float
     max_open: int
@@ -53,7 +53,7 @@
             seed=int(str(raw.get("seed") or "0"), 16),
             sockets=int((raw.get("limits") or {}).get("sockets") or 1024),
             memory_mb=int((raw.get("limits") or {}).get("memory_mb") or 64),
-            settings=read_settings(settings),
+            settings=parse_settings(settings),
             connect_timeout=float(caps.get("connectTimeout") or 250),
             keepalive=float(caps.get("keepalive") or 15_000),
             ask_every=float((settings.get("rules") or {}).get("askEvery") or 10_000),
--- a/roadpulley/counter.py
+++ b/gateway/network/counter_client.py
@@ -12,10 +12,9 @@
 from functools import partial
 from typing import cast
 
-from mintford.interface import Outcome
-
-from .clock import Timer, Timers, now_ms
-from .config import Address
+from ..policy.events import Outcome
+from .configuration import Address
+from .timers import Timer, TimerQueue, now_ms
 
 log = logging.getLogger(__name__)
 
@@ -112,13 +111,13 @@
     """None for what is no answer. `float` alone takes more than numbers: nan, inf, 1_0."""
     line = line.removesuffix(b"\r")
     if line in (b"busy", b"error"):
-        return Outcome.FULL, 0.0
+        return Outcome.QUEUE_FULL, 0.0
     if total := TOTAL.fullmatch(line):
         return Outcome.OK, float(total[1])
     return None
 
 
-class Lane:
+class CounterChannel:
     """The calls whose names share a connection, so that answers for one name keep the order of its calls."""
 
     def __init__(self, counter: Counter) -> None:
@@ -163,7 +162,7 @@
                     partial(CounterConnection, self.counter), host, port
                 )
         except OSError:  # time-outs are among these
-            self.fail(Outcome.CONNECT)
+            self.fail(Outcome.CONNECT_ERROR)
         finally:
             self.connecting = None
         self.flush()
@@ -190,10 +189,10 @@
 
 class Counter:
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, timers: Timers, address: Address, wait: float
+        self, loop: asyncio.AbstractEventLoop, timers: TimerQueue, address: Address, wait: float
     ) -> None:
         self.loop, self.timers, self.address, self.wait = loop, timers, address, wait
-        self.lanes = [Lane(self) for _ in range(CONNECTIONS)]
+        self.lanes = [CounterChannel(self) for _ in range(CONNECTIONS)]
         self.left: set[CounterConnection] = set()  # at an earlier address, for the answers still owed
         self.calls: dict[str, deque[Call]] = {}  # by name, the oldest first: those not yet told of
         self.dropped: Tally[str] = Tally()  # connections, by reason, since the last line of the log
@@ -233,9 +232,9 @@
             self.dropped.clear()
         self.timers.at(now_ms() + SUMMARY_MS, self.summarize)
 
-    def expire(self, lane: Lane, call: Call) -> None:
+    def expire(self, lane: CounterChannel, call: Call) -> None:
         written = call not in lane.waiting
-        call.end(Outcome.TIMED_OUT if written else Outcome.CONNECT)
+        call.end(Outcome.TIMED_OUT if written else Outcome.CONNECT_ERROR)
 
     def close(self) -> None:
         for lane in self.lanes:
--- a/roadpulley/discovery.py
+++ b/gateway/network/endpoint_watch.py
@@ -14,11 +14,10 @@
 
 import h11
 
-from mintford.interface import BackendEntry, BackendState, ListScope
-
+from ..policy.events import Endpoint, EndpointState, UpdateKind
 from .backoff import Backoff
-from .config import Address, parse_address
-from .jsonlines import BrokenObject, ObjectReader, read_parts
+from .configuration import Address, parse_address
+from .json_stream import JsonObjectReader, JsonStreamError, iterate_array
 
 log = logging.getLogger(__name__)
 
@@ -33,24 +32,24 @@
 AT_ONCE = 64  # entries that are read and told before what else waits has its turn
 A_MESSAGE, COPIED = 4, 4096  # entries' worth of work in a message itself; bytes whose copy is worth one
 LARGEST = 2**63  # a cell's number is below it
-STATES = {"up": BackendState.READY, "draining": BackendState.DRAINING, "removed": BackendState.GONE}
+STATES = {"up": EndpointState.READY, "draining": EndpointState.DRAINING, "removed": EndpointState.REMOVED}
 
 
-class DiscoveryError(Exception):
+class EndpointListError(Exception):
     """Discovery said what it should not."""
 
 
-class DiscoveryBusy(DiscoveryError):
+class DiscoveryOverloadedError(EndpointListError):
     """Discovery has too much to do; asking again soon is what keeps it so."""
 
 
 class Member(NamedTuple):
-    entry: BackendEntry
+    entry: Endpoint
     address: Address
 
 
 @dataclass(frozen=True, slots=True)
-class MemberList:
+class EndpointList:
     version: int
     whole: bool
     members: tuple[Member, ...]
@@ -58,12 +57,12 @@
 
 class Listener(Protocol):
     def __call__(
-        self, scope: ListScope, members: tuple[Member, ...], first: bool = True, last: bool = True
+        self, scope: UpdateKind, members: tuple[Member, ...], first: bool = True, last: bool = True
     ) -> None:
         """Take changes, or one part of a whole list."""
 
 
-def host_number(host: str) -> int:
+def backend_id_of(host: str) -> int:
     """A number for a host's name: the same at every gateway and after every start."""
     return int.from_bytes(hashlib.blake2b(host.encode(), digest_size=8).digest(), "big")
 
@@ -72,11 +71,11 @@
     cell = int(raw.get("block") or 0)
     if not -LARGEST <= cell < LARGEST:
         raise ValueError(f"no number of a cell: {cell}")
-    entry = BackendEntry(
-        backend=host_number(raw["host"]),
+    entry = Endpoint(
+        backend_id=backend_id_of(raw["host"]),
         zone=str(raw.get("site") or ""),
         cell=cell,
-        started=float(raw.get("born_ms") or 0),
+        started_at=float(raw.get("born_ms") or 0),
         state=STATES[raw["health"]],
     )
     return Member(entry, parse_address(raw["dial"]))
@@ -85,24 +84,24 @@
 MALFORMED = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
 
 
-def read_members(hosts: Iterable[Any]) -> tuple[Member, ...]:
+def parse_members(hosts: Iterable[Any]) -> tuple[Member, ...]:
     try:
         return tuple(read_member(host) for host in hosts)
     except MALFORMED as error:
-        raise DiscoveryError(f"{type(error).__name__}: {error}") from error
+        raise EndpointListError(f"{type(error).__name__}: {error}") from error
 
 
 def read_version(raw: Any) -> int:
     try:
         return int(raw["seq"])
     except MALFORMED as error:
-        raise DiscoveryError(f"{type(error).__name__}: {error}") from error
+        raise EndpointListError(f"{type(error).__name__}: {error}") from error
 
 
-def read_list(raw: Any) -> MemberList:
-    """Raises DiscoveryError for what is no list."""
+def parse_endpoint_list(raw: Any) -> EndpointList:
+    """Raises EndpointListError for what is no list."""
     version = read_version(raw)
-    return MemberList(version, bool(raw.get("whole")), read_members(raw.get("hosts") or ()))
+    return EndpointList(version, bool(raw.get("whole")), parse_members(raw.get("hosts") or ()))
 
 
 @dataclass(eq=False, slots=True)
@@ -234,8 +233,8 @@
                         return "left"
                     await self._take(watch, text)
             return "ended"
-        except (OSError, h11.ProtocolError, DiscoveryError) as error:  # time-outs are among these
-            watch.refused = isinstance(error, DiscoveryBusy)
+        except (OSError, h11.ProtocolError, EndpointListError) as error:  # time-outs are among these
+            watch.refused = isinstance(error, DiscoveryOverloadedError)
             return f"failed: {type(error).__name__} {error}"
         except Exception:
             # Without a watch the list goes stale and drains are missed, so it goes on whatever came.
@@ -247,15 +246,15 @@
         # With no version known, the whole list comes first.
         return PATH if self.version is None else f"{PATH}?stream=1&index={self.version}"
 
-    def _unread(self, reason: str) -> DiscoveryError:
+    def _unread(self, reason: str) -> EndpointListError:
         """What this change held is not known: everything is read again."""
         self.version = None
-        return DiscoveryError(reason)
+        return EndpointListError(reason)
 
     def _read(self, read: Callable[..., list[bytes]], *data: bytes | bytearray) -> list[bytes]:
         try:
             return read(*data)
-        except BrokenObject as error:
+        except JsonStreamError as error:
             raise self._unread(str(error)) from error
 
     async def _take(self, watch: Watch, text: bytes) -> None:
@@ -267,14 +266,14 @@
         try:
             decoded = text.decode()
             await self._turn(len(text) // COPIED)
-            for hosts in read_parts(decoded, "hosts", AT_ONCE, fields):
-                parts.append(read_members(hosts))
+            for hosts in iterate_array(decoded, "hosts", AT_ONCE, fields):
+                parts.append(parse_members(hosts))
                 if len(parts) > 1 and "whole" in fields:
                     self._tell(fields, parts.popleft(), first, False)
                     first = False
                 await self._turn(len(hosts))
             version = read_version(fields)
-        except (ValueError, RecursionError, DiscoveryError) as error:
+        except (ValueError, RecursionError, EndpointListError) as error:
             raise self._unread(str(error)) from error
         whole = bool(fields.get("whole"))
         if whole and not parts:
@@ -289,7 +288,7 @@
                 self.read.set()
 
     def _tell(self, fields: dict[str, Any], members: tuple[Member, ...], first: bool, last: bool) -> None:
-        self.listener(ListScope.FULL if fields.get("whole") else ListScope.CHANGES, members, first, last)
+        self.listener(UpdateKind.SNAPSHOT if fields.get("whole") else UpdateKind.DELTA, members, first, last)
 
     async def _turn(self, entries: int) -> None:
         """Let what else waits have its turn, if so many more entries are enough for once."""
@@ -307,7 +306,7 @@
             headers = [("Host", f"{host}:{port}"), ("Accept", "application/json")]
             writer.write(http.send(h11.Request(method="GET", target=target, headers=headers)) or b"")
             writer.write(http.send(h11.EndOfMessage()) or b"")
-            objects = ObjectReader()
+            objects = JsonObjectReader()
             while True:
                 event = http.next_event()
                 if event is h11.NEED_DATA:
@@ -316,9 +315,9 @@
                         http.receive_data(await reader.read(65536))
                 elif isinstance(event, h11.Response):
                     if event.status_code in BUSY:
-                        raise DiscoveryBusy(f"status {event.status_code}")
+                        raise DiscoveryOverloadedError(f"status {event.status_code}")
                     if event.status_code != 200:
-                        raise DiscoveryError(f"status {event.status_code}")
+                        raise EndpointListError(f"status {event.status_code}")
                     self._on_heard(watch)
                 elif isinstance(event, h11.Data):
                     for text in self._read(objects.feed, event.data):
--- a/roadpulley/jsonlines.py
+++ b/gateway/network/json_stream.py
@@ -19,11 +19,11 @@
 _read_value = json.JSONDecoder().raw_decode
 
 
-class BrokenObject(ValueError):
+class JsonStreamError(ValueError):
     """What came is no whole JSON object."""
 
 
-class ObjectReader:
+class JsonObjectReader:
     """Cuts a stream into the texts of its objects; blank lines between them are passed over."""
 
     def __init__(self) -> None:
@@ -32,7 +32,7 @@
         self.depth = self.size = 0  # braces of the object that are open; bytes of it
 
     def feed(self, data: bytes) -> list[bytes]:
-        """The objects that are whole now. Raises BrokenObject for one that was cut short or does not end."""
+        """The objects that are complete now. Raises JsonStreamError for one that is cut short or too long."""
         whole: list[bytes] = []
         for number, piece in enumerate(data.split(b"\n")):
             if number and (text := self._end_line()):
@@ -42,14 +42,14 @@
                 self.size += len(piece)
                 self.depth += piece.count(b"{") - piece.count(b"}")
         if self.size > LONGEST or len(self.lines) > MOST_LINES:
-            raise BrokenObject("an endless object")
+            raise JsonStreamError("an endless object")
         return whole
 
     def end(self) -> list[bytes]:
-        """The object that the end of the stream makes whole, if any. Raises BrokenObject for half of one."""
+        """The object that the end of the stream completes, if any. Raises JsonStreamError for half of one."""
         text = self._end_line() if self.line else b""
         if self.lines:
-            raise BrokenObject("an object that was cut short")
+            raise JsonStreamError("an object that was cut short")
         return [text] if text else []
 
     def _end_line(self) -> bytes:
@@ -58,7 +58,7 @@
         blank = not line or line.isspace()
         # Danger: an object that was cut short would swallow all that come after it.
         if self.lines and (blank or line.startswith(b'{"seq"')):
-            raise BrokenObject("an object that was cut short")
+            raise JsonStreamError("an object that was cut short")
         if not blank:
             self.lines.append(line)
             if self.depth > 0:
@@ -67,17 +67,17 @@
         return text
 
 
-def read_parts(text: str, array: str, most: int, fields: dict[str, Any]) -> Iterator[list[Any]]:
+def iterate_array(text: str, array: str, most: int, fields: dict[str, Any]) -> Iterator[list[Any]]:
     """The items of one array of an object, `most` at a time; all else that has been read is in `fields`.
 
-    Raises BrokenObject where the text goes wrong, and RecursionError for endless nesting.
+    Raises JsonStreamError where the text goes wrong, and RecursionError for endless nesting.
     """
     try:
         at = _opened(text, _skip(text, 0), "{")
         while text[at] != "}":
             name, at = _read_value(text, at)
             if not isinstance(name, str):
-                raise BrokenObject(f"no name before {at}")
+                raise JsonStreamError(f"no name before {at}")
             at = _opened(text, _skip(text, at), ":")
             if name == array and text[at] == "[":
                 items: list[Any] = []
@@ -95,12 +95,12 @@
             else:
                 fields[name], at = _read_value(text, at)
             at = _next(text, at, "}")
-    except BrokenObject:
+    except JsonStreamError:
         raise
     except (ValueError, IndexError, TypeError) as error:
-        raise BrokenObject(f"{type(error).__name__}: {error}") from error
+        raise JsonStreamError(f"{type(error).__name__}: {error}") from error
     if _skip(text, at + 1) < len(text):
-        raise BrokenObject("more than an object")
+        raise JsonStreamError("more than an object")
 
 
 def _skip(text: str, at: int) -> int:
@@ -113,7 +113,7 @@
 def _opened(text: str, at: int, sign: str) -> int:
     """Where what follows a sign begins."""
     if text[at] != sign:
-        raise BrokenObject(f"no {sign!r} at {at}")
+        raise JsonStreamError(f"no {sign!r} at {at}")
     return _skip(text, at + 1)
 
 
@@ -124,5 +124,5 @@
         return at
     at = _opened(text, at, ",")
     if text[at] == end:
-        raise BrokenObject(f"nothing before {end!r} at {at}")
+        raise JsonStreamError(f"nothing before {end!r} at {at}")
     return at
--- a/roadpulley/resp.py
+++ b/gateway/network/resp.py
@@ -28,7 +28,7 @@
 EXTRA_BEGUN = re.compile(rb"\$(?:-1?|-1\r|\d{0,5}|\d{1,5}\r)|:-?(?:\d{0,18}|\d{1,18}\r)")
 
 
-class Malformed(Exception):
+class ProtocolError(Exception):
     """What came is none of the protocol's forms; nothing after it can be understood either."""
 
 
@@ -36,7 +36,7 @@
     return b"$%d\r\n%b\r\n" % (len(value), value)
 
 
-class CommandReader:
+class CommandParser:
     """Cuts a client's bytes into commands: arrays of bulk strings."""
 
     __slots__ = ("_args", "_at", "_buffer", "_left", "_size", "_total")
@@ -70,18 +70,18 @@
                     return None
                 if not self._left:
                     if not 0 < number <= MOST_ARGUMENTS:
-                        raise Malformed("number of arguments")
+                        raise ProtocolError("number of arguments")
                     self._left, self._args, self._total = number, [], 0
                     continue
                 self._total += number
                 if number > LARGEST_VALUE or self._total > LARGEST_COMMAND:
-                    raise Malformed("length of an argument")
+                    raise ProtocolError("length of an argument")
                 self._size = number
             end = self._at + self._size
             if len(self._buffer) < end + 2:
                 return None
             if self._buffer[end : end + 2] != b"\r\n":
-                raise Malformed("end of an argument")
+                raise ProtocolError("end of an argument")
             self._args.append(bytes(self._buffer[self._at : end]))
             self._at, self._size = end + 2, -1
             self._left -= 1
@@ -98,7 +98,7 @@
         # A line that never ends, or that begins as no header does, is told by its first bytes.
         rest = self._buffer[self._at : self._at + 10]
         if rest and not BEGUN[form].fullmatch(rest):
-            raise Malformed("not an array of bulk strings")
+            raise ProtocolError("not an array of bulk strings")
         return None
 
 
@@ -108,27 +108,27 @@
     clean: bool  # the answer was whole and nothing followed it: the connection may be used again
 
 
-def parse_answer(data: bytearray) -> Answer | None:
+def parse_reply(data: bytearray) -> Answer | None:
     """The answer of a backend that `data` holds, None while it is not whole."""
     if data.startswith(b"-"):
         end = data.find(b"\r\n", 0, LONGEST_ERROR)
         if end >= 0:
             return Answer(None, bytes(data[1:end]), end + 2 == len(data))
         if len(data) >= LONGEST_ERROR:
-            raise Malformed("an endless error")
+            raise ProtocolError("an endless error")
         return None
     head = SERVED.match(data)
     if head is None:
         if not SERVED_BEGUN.fullmatch(data[:20]):
-            raise Malformed("not an answer")
+            raise ProtocolError("not an answer")
         return None
     end = head.end() + int(head[1])
     if int(head[1]) > LARGEST_ANSWER:
-        raise Malformed("length of the value")
+        raise ProtocolError("length of the value")
     if len(data) < end + 2:
         return None
     if data[end : end + 2] != b"\r\n":
-        raise Malformed("end of the value")
+        raise ProtocolError("end of the value")
     at = end + 2
     for _ in range(2):
         after = parse_extra(data, at)
--- a/roadpulley/clock.py
+++ b/gateway/network/timers.py
@@ -33,7 +33,7 @@
         self.callback = None
 
 
-class Timers:
+class TimerQueue:
     """Calls back at a time of `now_ms`, never before it; one event-loop timer stands for all of them."""
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
--- /dev/null
+++ b/gateway/policy/events.py
@@ -0,0 +1,149 @@
+"""The events that the policy's host delivers. All times are milliseconds on the host's clock."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum, auto
+from typing import NamedTuple
+
+from .timers import TimerToken
+
+
+class EndpointState(Enum):
+    """What the endpoint list says of a backend."""
+
+    READY = auto()
+    DRAINING = auto()
+    REMOVED = auto()
+
+
+class UpdateKind(Enum):
+    """What an endpoint update holds."""
+
+    DELTA = auto()
+    """Changes since the last update."""
+    SNAPSHOT = auto()
+    """The whole list."""
+    CACHED = auto()
+    """The whole list as it was known before the start of this process; it may be old."""
+    WATCH_FAILED = auto()
+    """Nothing: the list could not be read."""
+
+
+class Outcome(Enum):
+    """How an attempt or a counter call ended."""
+
+    OK = auto()
+    FAILED = auto()
+    """The backend answered with an error."""
+    QUEUE_FULL = auto()
+    """The backend or the counter rejected it unprocessed."""
+    TIMED_OUT = auto()
+    CONNECT_ERROR = auto()
+    """No connection, or one that broke before the request had left."""
+    CONNECTION_RESET = auto()
+    """The connection broke after the request had left: it may have run."""
+    CANCELLED = auto()
+    NOT_STARTED = auto()
+    """The host did not carry out the action."""
+
+
+class Endpoint(NamedTuple):
+    """One backend of the endpoint list."""
+
+    backend_id: int
+    zone: str
+    cell: int
+    started_at: float
+    """When its process started; 0 if that is not known."""
+    state: EndpointState
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointUpdate:
+    """Entries of the endpoint list; a snapshot may come in parts and is in force with the last of them."""
+
+    kind: UpdateKind
+    endpoints: tuple[Endpoint, ...]
+    is_first: bool = True
+    is_last: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class RequestArrived:
+    """A client asks. The customer's requests arrive through `gateway_set_size` gateways."""
+
+    request_id: str
+    request_class: str
+    plan: str
+    customer: str
+    deadline: float
+    cost: float
+    gateway_set_size: int
+    gateway_set_start: int
+    """The index of the first gateway of the set."""
+    is_retry: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptEnded:
+    """An attempt has ended; `request_finished` says whether its request already has its final response."""
+
+    request_id: str
+    attempt_number: int
+    backend_id: int
+    outcome: Outcome
+    latency_ms: float
+    request_finished: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ResponseStarted:
+    """The first bytes of a response have come."""
+
+    request_id: str
+    attempt_number: int
+    backend_id: int
+
+
+@dataclass(frozen=True, slots=True)
+class ClientDisconnected:
+    """Nobody waits for this request any more."""
+
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class CounterResponse:
+    """The counter's response to the oldest open call of that name, or the failure of this call."""
+
+    name: str
+    outcome: Outcome
+    total: float
+
+
+@dataclass(frozen=True, slots=True)
+class TimerFired:
+    """A timer that the policy set is due."""
+
+    token: TimerToken
+
+
+@dataclass(frozen=True, slots=True)
+class PeerMessage:
+    """Another gateway has sent something."""
+
+    sender: int
+    payload: bytes
+
+
+Event = (
+    EndpointUpdate
+    | RequestArrived
+    | AttemptEnded
+    | ResponseStarted
+    | ClientDisconnected
+    | CounterResponse
+    | TimerFired
+    | PeerMessage
+)
--- a/mintford/rules.py
+++ b/gateway/policy/policy.py
@@ -1,4 +1,4 @@
-"""Every decision of one mintford gateway. Types, events and actions: see mintford/interface.py.
+"""Every decision of one gateway. Its settings, events and actions: see gateway/policy/events.py.
 
 A gateway knows its settings, its seed, the `now` it is handed and its own events; nothing else.
 """
@@ -12,9 +12,33 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-from . import interface as api
-from .bucket import MEMORY_MS, SharedBucket
-from .membership import Membership
+from .actions import (
+    Actions,
+    CancelAttempt,
+    Fail,
+    IncrementCounter,
+    Reject,
+    SetTimer,
+    StartAttempt,
+    WatchEndpoints,
+)
+from .events import (
+    AttemptEnded,
+    ClientDisconnected,
+    CounterResponse,
+    Endpoint,
+    EndpointState,
+    EndpointUpdate,
+    Event,
+    Outcome,
+    RequestArrived,
+    TimerFired,
+    UpdateKind,
+)
+from .settings import DeduplicationScope, Idempotency, Plan, RequestClass, SafetyRules, Settings
+from .shared_bucket import MEMORY_MS, SharedTokenBucket
+from .subsetting import Membership
+from .timers import TimerKind, TimerToken
 
 LEASE_MS = 15_000.0  # the design's lease
 REFRESH_MS = 500.0  # between refreshes at least: shares follow a shift, calls stay under requests
@@ -43,22 +67,22 @@
 ENOUGH_OUT = 9.0  # that many out, and their rate, are known to a third: under it a count alone proves nothing
 RATE_MS = 800.0  # memory of the rate of answers: steady, yet quick to follow a shift
 CALM = 0.1  # of the aim: latency under which capacity counts as clearly spare
-NEVER_RAN = {api.Outcome.FULL, api.Outcome.CONNECT, api.Outcome.IGNORED}
-CALLED_OFF = {api.Outcome.TIMED_OUT, api.Outcome.CANCELLED}
+NEVER_RAN = {Outcome.QUEUE_FULL, Outcome.CONNECT_ERROR, Outcome.NOT_STARTED}
+CALLED_OFF = {Outcome.TIMED_OUT, Outcome.CANCELLED}
 
 
 class Customer:
     """One customer at this gateway: its lease and its local buckets."""
 
-    def __init__(self, key: str, plan: api.Plan, spread: int, now: float, since: float, unit: float) -> None:
+    def __init__(self, key: str, plan: Plan, spread: int, now: float, since: float, unit: float) -> None:
         self.key, self.plan, self.even = key, plan, 1 / max(1, spread)  # even: a gateway's even share
         self.tokens, self.filled_at, self.out = max(unit, plan.burst * self.even), now, 0
         # Danger: a restarted gateway does not know what it sent before. Counted as empty at its start, its
         # part of the ceiling can never be spent twice.
-        self.ceiling = (now - since) / 1000 * plan.ceiling_rate * self.even
-        self.keep_ms = max(LEASE_MS, plan.ceiling_burst / max(plan.ceiling_rate, 1e-9) * 1000)
+        self.ceiling = (now - since) / 1000 * plan.hard_limit_rate * self.even
+        self.keep_ms = max(LEASE_MS, plan.hard_limit_burst / max(plan.hard_limit_rate, 1e-9) * 1000)
         sparse = plan.burst * self.even < SPARSE * unit and plan.rate > 0
-        self.bucket = SharedBucket.of(key, plan.rate, plan.burst) if sparse else None
+        self.bucket = SharedTokenBucket.of(key, plan.rate, plan.burst) if sparse else None
         full_again = plan.burst / max(plan.rate, 1e-9) * 1000
         self.period_ms = min(LEASE_MS, max(REFRESH_MS, full_again))  # an empty burst is full again after it
         self.part = self.even  # the lease: of quota and burst
@@ -72,33 +96,33 @@
 class Backend:
     """One backend as this gateway has seen it."""
 
-    def __init__(self, entry: api.BackendEntry, rules: api.SafetyRules) -> None:
-        self.id, self.out, self.started, self.rules = entry.backend, 0, -1.0, rules
+    def __init__(self, entry: Endpoint, rules: SafetyRules) -> None:
+        self.id, self.out, self.started_at, self.rules = entry.backend_id, 0, -1.0, rules
         self.update(entry)
 
-    def update(self, entry: api.BackendEntry) -> None:
-        if entry.started != self.started:  # a new process: what was seen of the old one says nothing
+    def update(self, entry: Endpoint) -> None:
+        if entry.started_at != self.started_at:  # a new process: what was seen of the old one says nothing
             self.marks: dict[str, tuple[float, float]] = {}  # level and when it was set
-        self.zone, self.cell, self.started = entry.zone, entry.cell, entry.started
+        self.zone, self.cell, self.started_at = entry.zone, entry.cell, entry.started_at
 
     def warmth(self, now: float) -> float:
         """The least part of its capacity that it surely has."""
-        age = (now - self.started) / max(1.0, self.rules.warm_within) if self.started > 0 else 1.0
-        return min(1.0, self.rules.start_capacity + (1 - self.rules.start_capacity) * age)
+        age = (now - self.started_at) / max(1.0, self.rules.slow_start_ms) if self.started_at > 0 else 1.0
+        return min(1.0, self.rules.initial_capacity + (1 - self.rules.initial_capacity) * age)
 
 
 class Request:
     """One request that is owed a final answer."""
 
-    def __init__(self, event: api.RequestArrived, kind: api.RequestClass, c: Customer, now: float) -> None:
-        self.id, self.kind, self.customer, self.units = event.request, kind, c, event.units
-        self.expires, self.aim_at = event.expires, min(event.expires, now + kind.aim)
+    def __init__(self, event: RequestArrived, kind: RequestClass, c: Customer, now: float) -> None:
+        self.id, self.kind, self.customer, self.cost = event.request_id, kind, c, event.cost
+        self.deadline, self.aim_at = event.deadline, min(event.deadline, now + kind.latency_objective_ms)
         self.attempts, self.check_at = 0, math.inf
         self.marks = "all", "class " + kind.name, "plan " + c.plan.name  # of a backend that this one bears on
         self.live: set[int] = set()  # numbers of the attempts out
         self.tried: set[int] = set()
         self.ran: list[Attempt] = []  # attempts that may have run or are out, the earliest first
-        self.repeat, self.said = event.repeat, 0.0  # said: units of it that the counter was told already
+        self.is_retry, self.said = event.is_retry, 0.0  # said: units of it that the counter was told already
         self.short: float | None = None  # units that the bucket lacks for it, where the lease does not tell
 
 
@@ -117,17 +141,20 @@
     expected: float  # the total, if nobody else put the number right meanwhile; 0: it puts nothing right
 
 
-class Gateway:
-    def __init__(self, settings: api.Settings, seed: int) -> None:
+class GatewayPolicy:
+    def __init__(self, settings: Settings, seed: int) -> None:
         self.settings, self.random = settings, random.Random(seed)
-        self.classes = {c.name: c for c in settings.classes}
+        self.request_classes = {c.name: c for c in settings.request_classes}
         self.plans = {p.name: p for p in settings.plans}
-        self.top_importance = max((c.importance for c in settings.classes), default=1.0)
+        self.top_importance = max((c.priority_weight for c in settings.request_classes), default=1.0)
         self.customers: dict[str, Customer] = {}
         self.calls: dict[str, deque[Call]] = {}  # by the counter's name, the oldest first
         self.backends: dict[int, Backend] = {}  # those of the slice, and others that were sent to
-        in_cells = any(c.effect is api.Effect.KEYED and c.group is api.Group.CELL for c in settings.classes)
-        self.members = Membership(settings.index, settings.gateways, self.use, in_cells)
+        in_cells = any(
+            c.idempotency is Idempotency.WITH_KEY and c.deduplication_scope is DeduplicationScope.CELL
+            for c in settings.request_classes
+        )
+        self.members = Membership(settings.gateway_index, settings.gateway_count, self.use, in_cells)
         self.ordering = False  # a timer will go on with the order of the members
         self.requests: dict[str, Request] = {}
         self.attempts: dict[tuple[str, int], Attempt] = {}  # out, the oldest first
@@ -137,19 +164,21 @@
         self.counter_room = 1.0  # the part of refreshes that a crowded counter leaves room for
         self.late_room = 1.0  # likewise of all calls, where it answers too late
         self.retries, self.tidied_at, self.floor = RETRY_STORE, 0.0, 0.0
-        self.handlers: dict[type, Callable[[float, Any, api.Actions], object]] = {
-            api.RequestArrived: self.on_request, api.AttemptEnded: self.on_ended,
-            api.TimerFired: self.on_timer, api.CounterReplied: self.on_counted,
-            api.BackendsChanged: self.on_list,
-            api.RequestLapsed: self.on_lapsed,
+        self.handlers: dict[type, Callable[[float, Any, Actions], object]] = {
+            RequestArrived: self.on_request,
+            AttemptEnded: self.on_ended,
+            TimerFired: self.on_timer,
+            CounterResponse: self.on_counted,
+            EndpointUpdate: self.on_list,
+            ClientDisconnected: self.on_lapsed,
         }  # peers' messages and begun answers change no decision
 
-    def handle(self, now: float, event: api.Event) -> api.Actions:
-        out: api.Actions = []
+    def handle(self, now: float, event: Event) -> Actions:
+        out: Actions = []
         if self.created < 0:
             self.created = self.tidied_at = self.answered_at = now
-            if self.settings.must_ask_for_list:
-                out.append(api.FollowList())
+            if self.settings.polls_endpoints:
+                out.append(WatchEndpoints())
         if handler := self.handlers.get(type(event)):
             handler(now, event, out)
         return out
@@ -160,15 +189,17 @@
         if now > c.lease_end:
             c.part = c.even  # a lease unheard: the safe capacity is the even share
         passed, c.filled_at = (now - c.filled_at) / 1000, now
-        most = max(self.settings.most_units, c.plan.burst * c.part)
+        most = max(self.settings.max_request_cost, c.plan.burst * c.part)
         c.tokens = min(most, c.tokens + passed * c.plan.rate * c.part)
-        c.ceiling = min(c.plan.ceiling_burst * c.even, c.ceiling + passed * c.plan.ceiling_rate * c.even)
+        c.ceiling = min(
+            c.plan.hard_limit_burst * c.even, c.ceiling + passed * c.plan.hard_limit_rate * c.even
+        )
 
-    def refresh(self, now: float, request: Request, out: api.Actions) -> None:
+    def refresh(self, now: float, request: Request, out: Actions) -> None:
         """Add the units asked since the last call, refused ones too, and so learn of all that were asked."""
         c = request.customer
-        c.unsaid += request.units
-        if now < c.fresh_until or not self.settings.may_count or not c.plan.rate:
+        c.unsaid += request.cost
+        if now < c.fresh_until or not self.settings.counter_available or not c.plan.rate:
             return
         said, c.unsaid = c.unsaid / self.counter_room, 0.0
         if self.random.random() > self.counter_room:
@@ -176,7 +207,7 @@
         c.fresh_until, period = now + REFRESH_MS, int(now // c.period_ms)
         self.count(c, period, said, out)
 
-    def ask(self, now: float, request: Request, bucket: SharedBucket, out: api.Actions) -> bool:
+    def ask(self, now: float, request: Request, bucket: SharedTokenBucket, out: Actions) -> bool:
         """Read the shared bucket for a request that needs it and waits for the reply (true).
 
         Spread over so many gateways, a local bucket would be empty, or full of units that each of the others
@@ -188,19 +219,22 @@
         bucket fills for the few that do ask. Little is left to ask for whom nobody knows anything against.
         """
         c = request.customer
-        if now < c.empty_until or (now < c.fresh_until and c.tokens >= request.units):
+        if now < c.empty_until or (now < c.fresh_until and c.tokens >= request.cost):
             return False  # no other gateway can have filled it, or spent all of it, since it was read
-        doubtful, cheap = now < c.tight_until or request.repeat, c.plan.beyond_costs <= c.plan.beyond_earns
+        doubtful, cheap = (
+            now < c.tight_until or request.is_retry,
+            c.plan.over_quota_cost <= c.plan.over_quota_revenue,
+        )
         if not self.has_room(CHEAP if cheap else DOUBTFUL if doubtful else LIKELY):
             if cheap and now >= c.tight_until:
                 request.short = 0.0
             elif doubtful and not cheap:
-                request.short = request.units
+                request.short = request.cost
             return False
-        request.said = 0.0 if doubtful else request.units
+        request.said = 0.0 if doubtful else request.cost
         self.count(c, bucket.period(now), c.unsaid + request.said, out, request.id)
         c.unsaid = 0.0
-        self.watch(now, request, now + 2 * self.settings.count_wait, out)
+        self.watch(now, request, now + 2 * self.settings.counter_timeout_ms, out)
         return True
 
     def count(
@@ -208,7 +242,7 @@
         c: Customer,
         period: int,
         amount: float,
-        out: api.Actions,
+        out: Actions,
         request: str = "",
         last: bool = False,
         expected: float = 0.0,
@@ -220,13 +254,13 @@
             digest = hashlib.blake2b(c.key.encode(), digest_size=16).hexdigest()  # keys may be long
             name, memory = f"{period}:{digest}", 4 * c.period_ms
         self.calls.setdefault(name, deque()).append(call)
-        out.append(api.Count(name, call.amount, memory))
+        out.append(IncrementCounter(name, call.amount, memory))
 
     def has_room(self, eagerness: float) -> bool:
         """Whether a crowded counter is to be called even so."""
         return self.random.random() <= math.pow(self.counter_room, eagerness) * self.late_room
 
-    def tell(self, now: float, c: Customer, bucket: SharedBucket, out: api.Actions) -> None:
+    def tell(self, now: float, c: Customer, bucket: SharedTokenBucket, out: Actions) -> None:
         """Add what was spent without being said, or take off what was said and not spent.
 
         A crowded counter is told by some for the others too: the number stays true on the whole, and there is
@@ -237,13 +271,13 @@
         if abs(said) >= LEAST_UNIT and self.random.random() <= part:
             self.count(c, bucket.period(now), said / part, out)
 
-    def tell_later(self, c: Customer, out: api.Actions) -> None:
+    def tell_later(self, c: Customer, out: Actions) -> None:
         """Tell with the next call, or by a timer if none comes."""
-        if c.bucket and abs(c.unsaid) >= LEAST_UNIT and self.settings.may_count and not c.telling:
+        if c.bucket and abs(c.unsaid) >= LEAST_UNIT and self.settings.counter_available and not c.telling:
             c.telling = True
-            out.append(api.SetTimer(REFRESH_MS, "c" + c.key))
+            out.append(SetTimer(REFRESH_MS, TimerToken(TimerKind.USAGE_REPORT, c.key)))
 
-    def on_counted(self, now: float, event: api.CounterReplied, out: api.Actions) -> None:
+    def on_counted(self, now: float, event: CounterResponse, out: Actions) -> None:
         waiting = self.calls.get(event.name)
         if not waiting:
             return
@@ -251,9 +285,9 @@
         if not waiting:
             del self.calls[event.name]
         # Danger: a crowded counter fails everybody's calls, and their number keeps it crowded.
-        ok, room = event.outcome is api.Outcome.OK, self.counter_room
+        ok, room = event.outcome is Outcome.OK, self.counter_room
         self.counter_room = min(1.0, room + ROOM_STEP) if ok else max(ROOM_LEAST, room * ROOM_CUT)
-        if event.outcome is api.Outcome.TIMED_OUT:
+        if event.outcome is Outcome.TIMED_OUT:
             self.late_room = max(ROOM_LEAST, self.late_room * ROOM_CUT)
         elif ok:
             self.late_room = min(1.0, self.late_room + ROOM_STEP)
@@ -266,20 +300,20 @@
                 c.unsaid -= request.said
                 request.said = 0.0
         if c and c.bucket:
-            if ok and call.expected and (event.reading - call.expected) / call.amount > ASTRAY:
+            if ok and call.expected and (event.total - call.expected) / call.amount > ASTRAY:
                 self.count(c, call.period, -call.amount, out)  # another gateway has put it right, too
             elif ok and request:
-                self.read(now, request, c.bucket, call, event.reading, out)
+                self.read(now, request, c.bucket, call, event.total, out)
             elif request:
                 self.admit(now, request, out)
         elif c and ok:
-            self.renew(now, c, call.period, call.amount, event.reading, out)
+            self.renew(now, c, call.period, call.amount, event.total, out)
 
     def read(
-        self, now: float, request: Request, bucket: SharedBucket, call: Call, total: float, out: api.Actions
+        self, now: float, request: Request, bucket: SharedTokenBucket, call: Call, total: float, out: Actions
     ) -> None:
         """Take the shared bucket's level for the lease, and admit the request that waited for it."""
-        c, units, period = request.customer, request.units, call.period + call.last
+        c, units, period = request.customer, request.cost, call.period + call.last
         if call.last:
             if (owed := bucket.owed(total)) > 0:
                 self.count(c, period, owed, out)
@@ -302,9 +336,7 @@
         self.admit(now, request, out)
         self.tell(now, c, bucket, out)
 
-    def renew(
-        self, now: float, c: Customer, period: int, amount: float, total: float, out: api.Actions
-    ) -> None:
+    def renew(self, now: float, c: Customer, period: int, amount: float, total: float, out: Actions) -> None:
         """Size a lease that is spent locally.
 
         A period's number holds what was asked in it, and what the last period owed.
@@ -334,38 +366,45 @@
 
     # ---- admission ----
 
-    def on_request(self, now: float, event: api.RequestArrived, out: api.Actions) -> None:
+    def on_request(self, now: float, event: RequestArrived, out: Actions) -> None:
         if now - self.tidied_at > LEASE_MS:  # forget idle customers
             kept = {k: c for k, c in self.customers.items() if c.out or now - c.filled_at <= c.keep_ms}
             self.customers, self.tidied_at = kept, now
-        left, c = event.expires - now, self.customers.get(event.customer)
-        kind = self.classes.get(event.request_class) or api.RequestClass(event.request_class, left, left)
+        left, c = event.deadline - now, self.customers.get(event.customer)
+        kind = self.request_classes.get(event.request_class) or RequestClass(event.request_class, left, left)
         if c is None:
-            plan = self.plans.get(event.plan) or api.Plan(event.plan)  # an unknown plan has no quota to keep
-            c = Customer(event.customer, plan, event.spread, now, self.created, self.settings.most_units)
+            plan = self.plans.get(event.plan) or Plan(event.plan)  # an unknown plan has no quota to keep
+            c = Customer(
+                event.customer,
+                plan,
+                event.gateway_set_size,
+                now,
+                self.created,
+                self.settings.max_request_cost,
+            )
             self.customers[event.customer] = c
         self.fill(now, c)
-        request = self.requests[event.request] = Request(event, kind, c, now)
+        request = self.requests[event.request_id] = Request(event, kind, c, now)
         if c.bucket is None:
             self.refresh(now, request, out)
-        elif self.settings.may_count and self.ask(now, request, c.bucket, out):
+        elif self.settings.counter_available and self.ask(now, request, c.bucket, out):
             return
         self.admit(now, request, out)
 
-    def admit(self, now: float, request: Request, out: api.Actions) -> None:
+    def admit(self, now: float, request: Request, out: Actions) -> None:
         """Send the request on if the lease, the guards and the backends let it, else refuse it."""
-        c, kind, plan, units = request.customer, request.kind, request.customer.plan, request.units
+        c, kind, plan, units = request.customer, request.kind, request.customer.plan, request.cost
         short = units - c.tokens if plan.rate else 0.0
         if request.short is not None:
             short = request.short
-        crowded = bool(plan.open_limit) and c.out + 1 > max(1.0, plan.open_limit * c.part)
-        strain = (expected := self.time_to_answer(now)) / max(kind.aim, 1.0)
+        crowded = bool(plan.concurrency_limit) and c.out + 1 > max(1.0, plan.concurrency_limit * c.part)
+        strain = (expected := self.time_to_answer(now)) / max(kind.latency_objective_ms, 1.0)
         self.retries = min(RETRY_STORE, self.retries + (RETRY_CALM if strain < CALM else RETRY_SHARE))
-        spare = strain < CALM and plan.beyond_earns > plan.beyond_costs
-        over_ceiling = bool(plan.ceiling_rate) and c.ceiling < units
+        spare = strain < CALM and plan.over_quota_revenue > plan.over_quota_cost
+        over_ceiling = bool(plan.hard_limit_rate) and c.ceiling < units
         beyond = over_ceiling or ((short > 0 or crowded) and not spare)
         # Refuse early what would be answered too late; a class worth more holds out longer.
-        lesser = 1 - kind.importance / self.top_importance if self.top_importance else 0.0
+        lesser = 1 - kind.priority_weight / self.top_importance if self.top_importance else 0.0
         band = SHED_BAND * self.random.random() if self.floor < LEAST_OUT else 0.0
         too_late = strain > SHED_AT * (1 - SHED_SPAN * lesser) + band or now + expected > request.aim_at
         backend = None if beyond or too_late else self.pick(now, request)
@@ -381,11 +420,11 @@
         c.tokens, c.ceiling = c.tokens - (units if 0 < units <= c.tokens else 0.0), c.ceiling - units
         self.send(now, request, backend, out)
 
-    def on_lapsed(self, now: float, event: api.RequestLapsed, out: api.Actions) -> None:
-        if request := self.requests.pop(event.request, None):
+    def on_lapsed(self, now: float, event: ClientDisconnected, out: Actions) -> None:
+        if request := self.requests.pop(event.request_id, None):
             self.give_back(request, out)
 
-    def give_back(self, request: Request, out: api.Actions) -> None:
+    def give_back(self, request: Request, out: Actions) -> None:
         """Take back what was said of a request that ends without having been sent on."""
         if request.said and not request.attempts:
             request.customer.unsaid, request.said = request.customer.unsaid - request.said, 0.0
@@ -414,38 +453,40 @@
 
     # ---- backend choice and health ----
 
-    def on_list(self, now: float, event: api.BackendsChanged, out: api.Actions) -> None:
-        if event.scope is api.ListScope.FAILED:  # the old list stays
-            return out.append(api.SetTimer(self.settings.rules.drain_grace, "follow"))
+    def on_list(self, now: float, event: EndpointUpdate, out: Actions) -> None:
+        if event.kind is UpdateKind.WATCH_FAILED:  # the old list stays
+            return out.append(
+                SetTimer(self.settings.safety_rules.drain_grace_ms, TimerToken(TimerKind.WATCH_ENDPOINTS))
+            )
         self.members.take(event)
-        for entry in event.entries:
-            if entry.state is api.BackendState.GONE:
-                self.backends.pop(entry.backend, None)
-            elif b := self.backends.get(entry.backend):
+        for entry in event.endpoints:
+            if entry.state is EndpointState.REMOVED:
+                self.backends.pop(entry.backend_id, None)
+            elif b := self.backends.get(entry.backend_id):
                 b.update(entry)
-        if event.scope is not api.ListScope.CHANGES and event.last:
+        if event.kind is not UpdateKind.DELTA and event.is_last:
             self.backends = {i: b for i, b in self.backends.items() if i in self.members}
-        self.floor = FLOOR_OUT * len(self.members) / max(1, self.settings.gateways)
+        self.floor = FLOOR_OUT * len(self.members) / max(1, self.settings.gateway_count)
         self.order_on(out)
 
-    def order_on(self, out: api.Actions) -> None:
+    def order_on(self, out: Actions) -> None:
         """Let what waits have its turn before the next step of a long list's order."""
         if self.members.building is not None and not self.ordering:
             self.ordering = True
-            out.append(api.SetTimer(0.0, "order"))
+            out.append(SetTimer(0.0, TimerToken(TimerKind.BUILD_ORDER)))
 
     @property
     def subset(self) -> list[Backend]:
         """The backends that this gateway uses."""
         return self.members.subset
 
-    def use(self, entry: api.BackendEntry) -> Backend:
-        b = self.backends.get(entry.backend)
+    def use(self, entry: Endpoint) -> Backend:
+        b = self.backends.get(entry.backend_id)
         if b is None:
             if len(self.backends) > len(self.subset) + KEPT:
                 kept = set(self.members.slice)
                 self.backends = {i: b for i, b in self.backends.items() if b.out or i in kept}
-            b = self.backends[entry.backend] = Backend(entry, self.settings.rules)
+            b = self.backends[entry.backend_id] = Backend(entry, self.settings.safety_rules)
         return b
 
     def mark(self, now: float, b: Backend, name: str) -> float:
@@ -480,26 +521,30 @@
         warm = [b for b in may if b.warmth(now) >= 1]
         if len(warm) < len(may) and not (request.ran and warm):
             b = self.random.choice(may)
-            part = b.warmth(now) * min(1.0, b.warmth(now) * self.settings.rules.fall_multiple / 2)
+            part = b.warmth(now) * min(1.0, b.warmth(now) * self.settings.safety_rules.overload_multiple / 2)
             if b.warmth(now) < 1 and self.random.random() < part and self.failing(now, b, request) < 0.5:
                 return b
         costs = [self.cost(now, b, request) * self.random.expovariate(1.0) ** CHANCE for b in warm]
         return warm[costs.index(min(costs))] if warm else None
 
     def others(self, now: float, request: Request) -> list[Backend]:
-        """Backends beyond the slice, for what none of the slice may serve."""
+        """BackendPool beyond the slice, for what none of the slice may serve."""
         kind, cell = request.kind, None
-        if request.ran and kind.effect is api.Effect.KEYED and kind.group is api.Group.CELL:
+        if (
+            request.ran
+            and kind.idempotency is Idempotency.WITH_KEY
+            and kind.deduplication_scope is DeduplicationScope.CELL
+        ):
             cell = request.ran[0].backend.zone, request.ran[0].backend.cell
-        elif request.ran and kind.effect is api.Effect.UNSAFE:
+        elif request.ran and kind.idempotency is Idempotency.UNSAFE:
             return []
         found = self.members.others(self.random, cell)
-        others = [self.backends.get(e.backend) or Backend(e, self.settings.rules) for e in found]
+        others = [self.backends.get(e.backend_id) or Backend(e, self.settings.safety_rules) for e in found]
         return [b for b in others if self.may_go(now, request, b)]
 
     # ---- attempts and retries ----
 
-    def send(self, now: float, request: Request, b: Backend, out: api.Actions) -> None:
+    def send(self, now: float, request: Request, b: Backend, out: Actions) -> None:
         self.backends.setdefault(b.id, b)
         b.out += 1
         request.customer.out += 1
@@ -509,68 +554,72 @@
         request.ran.append(attempt)
         request.tried.add(b.id)
         request.attempts += 1
-        out.append(api.Send(request.id, b.id, latest=latest))
+        out.append(StartAttempt(request.id, b.id, start_before=latest))
         self.watch(now, request, now + self.patience(now, attempt), out)
 
     def patience(self, now: float, attempt: Attempt) -> float:
         """How long an answer may take before the attempt counts as lost."""
         failing = self.failing(now, attempt.backend, attempt.request)
         times = max(SHORTEST, LONGEST / (1 + ERROR_COST * failing))
-        return times * self.typical if self.typical else PATIENCE * attempt.request.kind.aim
+        return times * self.typical if self.typical else PATIENCE * attempt.request.kind.latency_objective_ms
 
-    def watch(self, now: float, request: Request, at: float, out: api.Actions) -> None:
-        request.check_at = min(at, request.expires - END_MS)
-        out.append(api.SetTimer(max(0.0, request.check_at - now), "r" + request.id))
+    def watch(self, now: float, request: Request, at: float, out: Actions) -> None:
+        request.check_at = min(at, request.deadline - END_MS)
+        out.append(SetTimer(max(0.0, request.check_at - now), TimerToken(TimerKind.REQUEST, request.id)))
 
-    def on_timer(self, now: float, event: api.TimerFired, out: api.Actions) -> None:
-        if event.token == "follow":
-            out.append(api.FollowList())
-        if event.token == "order":
+    def on_timer(self, now: float, event: TimerFired, out: Actions) -> None:
+        if event.token.kind is TimerKind.WATCH_ENDPOINTS:
+            out.append(WatchEndpoints())
+        if event.token.kind is TimerKind.BUILD_ORDER:
             self.ordering = False
             self.members.step()
             self.order_on(out)
             return
-        if event.token[0] == "c" and (c := self.customers.get(event.token[1:])) and c.bucket:
+        if (
+            event.token.kind is TimerKind.USAGE_REPORT
+            and (c := self.customers.get(event.token.subject))
+            and c.bucket
+        ):
             c.telling = False
-            if c.plan.beyond_costs > c.plan.beyond_earns or self.has_room(CHEAP):
+            if c.plan.over_quota_cost > c.plan.over_quota_revenue or self.has_room(CHEAP):
                 self.tell(now, c, c.bucket, out)
             return
-        request = self.requests.get(event.token[1:]) if event.token[0] == "r" else None
+        request = self.requests.get(event.token.subject) if event.token.kind is TimerKind.REQUEST else None
         if request is None or now < request.check_at - 1:
             return
-        if now >= request.expires - END_MS - 1:
+        if now >= request.deadline - END_MS - 1:
             return self.finish(request, out)  # every request held ends here at the latest
         if not request.attempts:
             return self.admit(now, request, out)  # the counter is silent
         self.watch(now, request, math.inf, out)
         # An attempt out far longer than usual is doubled, or called off and its outcome brings the next.
-        if len(request.live) == 1 and request.kind.effect is not api.Effect.UNSAFE:
-            if self.settings.may_duplicate:
+        if len(request.live) == 1 and request.kind.idempotency is not Idempotency.UNSAFE:
+            if self.settings.hedging_allowed:
                 self.another(now, request, out, price=1.0)
             elif self.retries >= 1 and self.in_time(now, request) and self.pick(now, request):
                 self.cancel_all(request, out)
 
-    def on_ended(self, now: float, event: api.AttemptEnded, out: api.Actions) -> None:
-        attempt = self.attempts.pop((event.request, event.attempt), None)
+    def on_ended(self, now: float, event: AttemptEnded, out: Actions) -> None:
+        attempt = self.attempts.pop((event.request_id, event.attempt_number), None)
         if attempt is None:
             return
         request, never_ran = attempt.request, event.outcome in NEVER_RAN
         attempt.backend.out -= 1
         request.customer.out -= 1
-        request.live.remove(event.attempt)
+        request.live.remove(event.attempt_number)
         self.judge(now, attempt, event.outcome)
         if never_ran:
             request.ran.remove(attempt)
-        if event.request not in self.requests:
+        if event.request_id not in self.requests:
             return
-        if event.finished or event.outcome is api.Outcome.OK:
+        if event.request_finished or event.outcome is Outcome.OK:
             del self.requests[request.id]
             self.cancel_all(request, out)
         elif not request.live and not self.another(now, request, out, price=0.0 if never_ran else 1.0):
             self.finish(request, out)
 
-    def judge(self, now: float, attempt: Attempt, outcome: api.Outcome) -> None:
-        b, lag, ok = attempt.backend, max(1.0, now - attempt.sent_at), outcome is api.Outcome.OK
+    def judge(self, now: float, attempt: Attempt, outcome: Outcome) -> None:
+        b, lag, ok = attempt.backend, max(1.0, now - attempt.sent_at), outcome is Outcome.OK
         slow, overdue = self.mark(now, b, "slow"), lag >= self.patience(now, attempt)
         # Danger: one attempt lost on the way would look like a backend slow beyond use.
         capped = min(lag, LONGEST * self.typical) if self.typical else lag
@@ -587,13 +636,13 @@
             self.answered_at = now
         if outcome not in CALLED_OFF or overdue:  # a client that left early says nothing of the backend
             for name in attempt.request.marks:
-                level, bad = self.mark(now, b, name), not ok and outcome is not api.Outcome.IGNORED
+                level, bad = self.mark(now, b, name), not ok and outcome is not Outcome.NOT_STARTED
                 b.marks[name] = (level + (bad - level) * BAD, now)
 
     def in_time(self, now: float, request: Request) -> bool:
         return now + self.typical < request.aim_at and request.attempts < self.settings.max_attempts
 
-    def another(self, now: float, request: Request, out: api.Actions, price: float) -> bool:
+    def another(self, now: float, request: Request, out: Actions, price: float) -> bool:
         """Send a further attempt if one can be in time and in the budget; what never ran is not charged."""
         backend = self.pick(now, request) if self.retries >= price and self.in_time(now, request) else None
         if backend:
@@ -603,38 +652,47 @@
 
     # ---- rule guards ----
 
-    def finish(self, request: Request, out: api.Actions, wait: float = 0.0) -> None:
+    def finish(self, request: Request, out: Actions, wait: float = 0.0) -> None:
         """The one final answer: a refusal only where a new try is known to do no harm, else a failure.
 
         A refusal says when to come again; where no quota tells, once what went wrong may be over.
         """
         del self.requests[request.id]
         self.give_back(request, out)
-        keyed_by_all = request.kind.effect is api.Effect.KEYED and request.kind.group is api.Group.ALL
-        harmless = not request.ran or request.kind.effect is api.Effect.SAFE or keyed_by_all
-        wait = wait or request.kind.aim * PATIENCE
-        refusal = api.Refuse(request.id, min(wait, self.settings.max_retry_after))
-        out.append(refusal if harmless else api.Fail(request.id))
+        keyed_by_all = (
+            request.kind.idempotency is Idempotency.WITH_KEY
+            and request.kind.deduplication_scope is DeduplicationScope.ALL
+        )
+        harmless = not request.ran or request.kind.idempotency is Idempotency.IDEMPOTENT or keyed_by_all
+        wait = wait or request.kind.latency_objective_ms * PATIENCE
+        refusal = Reject(request.id, min(wait, self.settings.max_retry_after_ms))
+        out.append(refusal if harmless else Fail(request.id))
         self.cancel_all(request, out)
 
-    def cancel_all(self, request: Request, out: api.Actions) -> None:
-        out.extend(api.Cancel(request.id, number) for number in request.live if self.settings.can_cancel)
+    def cancel_all(self, request: Request, out: Actions) -> None:
+        out.extend(
+            CancelAttempt(request.id, number)
+            for number in request.live
+            if self.settings.cancellation_supported
+        )
 
     def repeat_until(self, request: Request) -> float:
         """When a further attempt must have begun, so that backends still drop it if the first has run."""
-        if request.kind.effect is not api.Effect.KEYED or not request.ran:
+        if request.kind.idempotency is not Idempotency.WITH_KEY or not request.ran:
             return math.inf
-        return request.ran[0].sent_at + request.kind.repeat_window - END_MS
+        return request.ran[0].sent_at + request.kind.deduplication_window_ms - END_MS
 
     def may_go(self, now: float, request: Request, b: Backend) -> bool:
         """May this request's next attempt go to this backend, given what may have run?"""
         kind = request.kind
-        if b.id in request.tried or not request.ran or kind.effect is api.Effect.SAFE:
+        if b.id in request.tried or not request.ran or kind.idempotency is Idempotency.IDEMPOTENT:
             return b.id not in request.tried
         # Danger: an effect happening twice. Unsafe work is never sent again once it may have run, keyed work
         # only inside the group that drops the repeat, and a little before that group forgets.
-        if kind.effect is api.Effect.UNSAFE or now >= self.repeat_until(request):
+        if kind.idempotency is Idempotency.UNSAFE or now >= self.repeat_until(request):
             return False
         first = request.ran[0].backend
-        same_zone = first.zone == b.zone and (kind.group is not api.Group.CELL or first.cell == b.cell)
-        return kind.group is api.Group.ALL or same_zone
+        same_zone = first.zone == b.zone and (
+            kind.deduplication_scope is not DeduplicationScope.CELL or first.cell == b.cell
+        )
+        return kind.deduplication_scope is DeduplicationScope.ALL or same_zone
--- /dev/null
+++ b/gateway/policy/settings.py
@@ -0,0 +1,100 @@
+"""The policy's settings: request classes, plans, safety rules and what the deployment allows.
+
+All times are milliseconds, all rates are per second. Nothing here decides anything.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum, auto
+
+
+class Idempotency(Enum):
+    """Whether the requests of a class may run more than once."""
+
+    IDEMPOTENT = auto()
+    """Running it again changes nothing: it may be retried and hedged freely."""
+    WITH_KEY = auto()
+    """It carries an idempotency key: backends drop a repeat within the deduplication window."""
+    UNSAFE = auto()
+    """It must not run twice: it is never sent again once it may have run."""
+
+
+class DeduplicationScope(Enum):
+    """The backends that recognise a repeated idempotency key of each other's requests."""
+
+    ALL = auto()
+    ZONE = auto()
+    CELL = auto()
+
+
+@dataclass(frozen=True, slots=True)
+class RequestClass:
+    """A class of requests: what it is worth, how fast it should be, whether it may run twice."""
+
+    name: str
+    latency_objective_ms: float
+    """A response that takes longer earns nothing."""
+    deadline_ms: float
+    """How long its clients usually wait at most."""
+    priority_weight: float = 1.0
+    idempotency: Idempotency = Idempotency.UNSAFE
+    deduplication_scope: DeduplicationScope = DeduplicationScope.ALL
+    deduplication_window_ms: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Plan:
+    """A plan's quota for each customer over all gateways together; a limit of 0 means none."""
+
+    name: str
+    rate: float = 0.0
+    """Cost units a second."""
+    burst: float = 0.0
+    """Cost units that an idle customer has saved up at most."""
+    concurrency_limit: int = 0
+    """Attempts in flight at once."""
+    over_quota_revenue: float = 0.0
+    """Part of a request's worth that serving it beyond the quota earns."""
+    over_quota_cost: float = 0.0
+    """Part of a request's worth that forwarding it beyond the quota costs."""
+    hard_limit_rate: float = 0.0
+    """Cost units a second that must never be exceeded."""
+    hard_limit_burst: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class SafetyRules:
+    """Limits that protect backends."""
+
+    drain_grace_ms: float
+    """How long after the notification a draining backend may still be sent new work."""
+    initial_capacity: float
+    """Part of its full capacity that a backend has at its start."""
+    slow_start_ms: float
+    """Time from its start until a backend surely has its full capacity."""
+    overload_multiple: float
+    """A backend that is warming up fails when sent more than this multiple of its present capacity."""
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """Everything that the policy of one gateway is told at its start."""
+
+    gateway_index: int
+    gateway_count: int
+    zone: str
+    request_classes: tuple[RequestClass, ...]
+    plans: tuple[Plan, ...]
+    safety_rules: SafetyRules
+    max_attempts: int
+    hedging_allowed: bool = False
+    """Whether a second attempt may be in flight beside the first."""
+    cancellation_supported: bool = False
+    counter_available: bool = False
+    polls_endpoints: bool = False
+    """Whether the endpoint list has to be asked for, rather than being pushed by a local agent."""
+    max_retry_after_ms: float = 0.0
+    counter_timeout_ms: float = 0.0
+    max_request_cost: float = 1.0
+    """The largest cost of one request, in units."""
--- a/mintford/bucket.py
+++ b/gateway/policy/shared_bucket.py
@@ -2,7 +2,7 @@
 
 The number of a period holds the units spent in it, and what the period before left owed. Time pays it back:
 what the bucket holds follows from the number and the time alone, so one call both spends and tells. Pure
-arithmetic; when to call and what to do with the answer is decided in mintford/rules.py.
+arithmetic; when to call and what to do with the answer is decided in gateway/policy/policy.py.
 """
 
 from __future__ import annotations
@@ -15,14 +15,14 @@
 
 
 @dataclass(frozen=True, slots=True)
-class SharedBucket:
+class SharedTokenBucket:
     key: str  # of the customer on the counter
     offset: float  # of its periods: those of all customers together would end, and be carried over, at once
     rate: float  # units a second
     burst: float
 
     @classmethod
-    def of(cls, customer: str, rate: float, burst: float) -> SharedBucket:
+    def of(cls, customer: str, rate: float, burst: float) -> SharedTokenBucket:
         digest = hashlib.blake2b(customer.encode(), digest_size=16)  # customers' names may be long
         offset = int.from_bytes(digest.digest()[:4], "big") % int(PERIOD_MS)
         return cls(digest.hexdigest(), float(offset), rate, burst)
--- a/mintford/membership.py
+++ b/gateway/policy/subsetting.py
@@ -18,7 +18,7 @@
 
 from sortedcontainers import SortedList
 
-from . import interface as api
+from .events import Endpoint, EndpointState, EndpointUpdate, UpdateKind
 
 SUBSET, COVER = 8, 8  # backends that a gateway of a large fleet uses; gateways that each backend needs
 AT_ONCE = 512  # places that may be worked out in one go
@@ -86,7 +86,7 @@
     """`subset` holds what `use` makes of each backend of the slice, in order."""
 
     def __init__(
-        self, index: int, gateways: int, use: Callable[[api.BackendEntry], Used], by_cell: bool = False
+        self, index: int, gateways: int, use: Callable[[Endpoint], Used], by_cell: bool = False
     ) -> None:
         self.index, self.gateways, self.use = index, max(1, gateways), use
         self.listed: dict[int, Record] = {}
@@ -108,50 +108,50 @@
     def __contains__(self, backend: int) -> bool:
         return backend in self.listed
 
-    def entry(self, backend: int) -> api.BackendEntry:
+    def entry(self, backend: int) -> Endpoint:
         _, zone, cell, started, ready = RECORD.unpack(self.listed[backend])
-        state = api.BackendState.READY if ready else api.BackendState.DRAINING
-        return api.BackendEntry(backend, list(self.zones)[zone], cell, started, state)
+        state = EndpointState.READY if ready else EndpointState.DRAINING
+        return Endpoint(backend, list(self.zones)[zone], cell, started, state)
 
     # ---- the list ----
 
-    def take(self, event: api.BackendsChanged) -> None:
+    def take(self, event: EndpointUpdate) -> None:
         """Take in changes, or one part of a whole list; drains are in force at once, even of a part."""
-        if event.scope is api.ListScope.CHANGES:
+        if event.kind is UpdateKind.DELTA:
             self.staged = None  # of a whole list that broke off
-            for entry in event.entries:
+            for entry in event.endpoints:
                 self._change(entry)
             return self._settle()
-        if event.first:
+        if event.is_first:
             self.staged, self.arrived = {}, []
         if self.staged is None:
             return
-        for entry in event.entries:
-            known = entry.backend in self.listed
+        for entry in event.endpoints:
+            known = entry.backend_id in self.listed
             if known:
                 self._change(entry)
-            if entry.state is api.BackendState.GONE:
-                self.staged.pop(entry.backend, None)
+            if entry.state is EndpointState.REMOVED:
+                self.staged.pop(entry.backend_id, None)
                 continue
-            if not known and entry.backend not in self.staged:
-                self.arrived.append(entry.backend)
-            self.staged[entry.backend] = self.listed[entry.backend] if known else self._record(entry)
-        if event.last:
+            if not known and entry.backend_id not in self.staged:
+                self.arrived.append(entry.backend_id)
+            self.staged[entry.backend_id] = self.listed[entry.backend_id] if known else self._record(entry)
+        if event.is_last:
             staged, self.staged = self.staged, None
             self._replace(staged, self.arrived)
         self._settle()
 
-    def _record(self, entry: api.BackendEntry) -> Record:
-        if old := self.listed.get(entry.backend):
+    def _record(self, entry: Endpoint) -> Record:
+        if old := self.listed.get(entry.backend_id):
             serial = RECORD.unpack(old)[0]
         else:
             serial = self.serial = self.serial + 1
         zone = self.zones.setdefault(entry.zone, len(self.zones))
-        return RECORD.pack(serial, zone, entry.cell, entry.started, entry.state is api.BackendState.READY)
+        return RECORD.pack(serial, zone, entry.cell, entry.started_at, entry.state is EndpointState.READY)
 
-    def _change(self, entry: api.BackendEntry) -> None:
-        backend, old = entry.backend, self.listed.get(entry.backend)
-        if entry.state is api.BackendState.GONE:
+    def _change(self, entry: Endpoint) -> None:
+        backend, old = entry.backend_id, self.listed.get(entry.backend_id)
+        if entry.state is EndpointState.REMOVED:
             if old:
                 self._leave(backend, old)
                 del self.listed[backend]
@@ -268,7 +268,7 @@
         self.slice = self.order.between(self.start, end)
         self.subset = [self.use(self.entry(backend)) for backend in self.slice]
 
-    def others(self, chance: random.Random, cell: tuple[str, int] | None = None) -> list[api.BackendEntry]:
+    def others(self, chance: random.Random, cell: tuple[str, int] | None = None) -> list[Endpoint]:
         """Ready backends for a request that none of the slice may serve.
 
         They are all; of a long list some by chance, or those of a cell if only such may serve it.
--- /dev/null
+++ b/gateway/policy/timers.py
@@ -0,0 +1,38 @@
+"""What the timers of the policy are for."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import NamedTuple
+
+
+class TimerKind(Enum):
+    """The work that is due when a timer fires; the values are the encoded form."""
+
+    REQUEST = "r"
+    """A request has to be looked at again: its attempt is late, or its deadline near."""
+    USAGE_REPORT = "c"
+    """Usage of a customer is to be reported to the counter."""
+    WATCH_ENDPOINTS = "follow"
+    """The endpoint list is to be watched again after a failure."""
+    BUILD_ORDER = "order"
+    """The next step of ordering a long endpoint list is due."""
+
+
+class TimerToken(NamedTuple):
+    """Identifies a timer: its kind, and the request id or customer key that it belongs to."""
+
+    kind: TimerKind
+    subject: str = ""
+
+    def encode(self) -> str:
+        """The token as text, for hosts that keep timers outside this process."""
+        return self.kind.value + self.subject
+
+    @classmethod
+    def decode(cls, text: str) -> TimerToken:
+        """The token of a text that `encode` gave. Raises ValueError for any other text."""
+        for kind in (TimerKind.WATCH_ENDPOINTS, TimerKind.BUILD_ORDER):
+            if text == kind.value:
+                return cls(kind)
+        return cls(TimerKind(text[:1]), text[1:])
--- /dev/null
+++ b/gateway/simulator/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter that lets a simulator drive the policy over standard input and output."""
--- a/scale/hollow.py
+++ b/scale/hollow.py
@@ -19,15 +19,15 @@
 
 import psutil
 
-from mintford.interface import ListScope, Outcome
-from roadpulley.backends import Attempt, Backends
-from roadpulley.backoff import Backoff
-from roadpulley.clients import ClientConnection, Slot, Terms
-from roadpulley.clock import Timers
-from roadpulley.config import parse_config
-from roadpulley.counter import Counter
-from roadpulley.discovery import Discovery, host_number
-from roadpulley.driver import Driver
+from gateway.network.backend_pool import Attempt, BackendPool
+from gateway.network.backoff import Backoff
+from gateway.network.client_listener import ClientConnection, PendingReply, RequestParser
+from gateway.network.configuration import parse_config
+from gateway.network.counter_client import Counter
+from gateway.network.dispatcher import Dispatcher
+from gateway.network.endpoint_watch import Discovery, backend_id_of
+from gateway.network.timers import TimerQueue
+from gateway.policy.events import Outcome, UpdateKind
 
 from .load import attributes
 from .settings import Customers
@@ -38,14 +38,14 @@
 POLL_S = 0.05
 
 
-class Nowhere(Backends):
+class Nowhere(BackendPool):
     """Pools that hold the list as ever, and end each attempt at once as served."""
 
     def send(self, attempt: Attempt) -> None:
         attempt.end(Outcome.OK)
 
 
-class Tally(Slot):
+class Tally(PendingReply):
     """The place of an answer that nobody waits for."""
 
     __slots__ = ("owner",)
@@ -70,23 +70,25 @@
         """`raw` is the configuration, without a known list; `after` is called after each message."""
         loop, config = asyncio.get_running_loop(), parse_config(raw)
         settings = config.settings
-        self.index, self.after = settings.index, after
-        timers = Timers(loop)
+        self.index, self.after = settings.gateway_index, after
+        timers = TimerQueue(loop)
         self.backends = Nowhere(
             loop,
             timers,
             config.connect_timeout,
             config.keepalive,
-            settings.rules.drain_grace,
+            settings.safety_rules.drain_grace_ms,
             int(config.sockets * BACKEND_SHARE),
             int(config.memory_mb * MEMORY_SHARE * 2**20),
         )
-        self.counter = Counter(loop, timers, config.counter, settings.count_wait) if config.counter else None
-        self.driver = Driver(settings, config.seed, timers, self.backends, self.counter, config.max_open)
-        self.terms = Terms(settings)
-        busy = Backoff(settings.gateways, config.ask_every / 1000, random.Random(config.seed))
-        soon = max(SOONEST_S, settings.rules.drain_grace / 1000 * GRACES)
-        asked = settings.must_ask_for_list
+        self.counter = (
+            Counter(loop, timers, config.counter, settings.counter_timeout_ms) if config.counter else None
+        )
+        self.driver = Dispatcher(settings, config.seed, timers, self.backends, self.counter, config.max_open)
+        self.terms = RequestParser(settings)
+        busy = Backoff(settings.gateway_count, config.ask_every / 1000, random.Random(config.seed))
+        soon = max(SOONEST_S, settings.safety_rules.drain_grace_ms / 1000 * GRACES)
+        asked = settings.polls_endpoints
         self.discovery = Discovery(config.discovery, None, self.heard, busy, asked, soon)
         self.calls: list[tuple[float, list[int]]] = []  # when a message had been taken, and its backends
         self.seen: dict[int, list[float]] = {}  # by backend, what of `calls` has been looked at
@@ -96,9 +98,9 @@
 
     def heard(self, *args: Any, **kwargs: Any) -> None:
         self.driver.members(*args, **kwargs)
-        if args[0] is ListScope.CHANGES:
+        if args[0] is UpdateKind.DELTA:
             self.messages += 1
-            self.calls.append((time.monotonic(), [member.entry.backend for member in args[1]]))
+            self.calls.append((time.monotonic(), [member.entry.backend_id for member in args[1]]))
         if self.after is not None:
             self.after()
 
@@ -216,7 +218,7 @@
     async def in_force(self, hosts: list[str], told_at: list[float], patience: float) -> list[list[float]]:
         """For each change the milliseconds until it was in force, by gateway; -1: not in so many seconds."""
         end = time.monotonic() + patience
-        changes = [(host_number(host), at) for host, at in zip(hosts, told_at, strict=True)]
+        changes = [(backend_id_of(host), at) for host, at in zip(hosts, told_at, strict=True)]
         # Only the last is asked for while it is waited for: all of them would take the time that is measured.
         last = changes[-1:]
         while time.monotonic() < end and not all(
--- a/scale/keeper.py
+++ b/scale/keeper.py
@@ -37,7 +37,7 @@
         process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
-            "roadpulley",
+            "gateway",
             cwd=program,
             env={**environment, "LB_CONFIG": str(path)},
             stdin=asyncio.subprocess.DEVNULL,
--- a/scale/load.py
+++ b/scale/load.py
@@ -67,7 +67,7 @@
 class Client(asyncio.Protocol):
     """One connection to a gateway, with one request on it at a time."""
 
-    def __init__(self, gateway: Gateway) -> None:
+    def __init__(self, gateway: GatewayPolicy) -> None:
         self.gateway, self.rest = gateway, b""
         self.request: Request | None = None
         self.transport: asyncio.Transport | None = None
@@ -97,7 +97,7 @@
             self.transport.abort()
 
 
-class Gateway:
+class GatewayPolicy:
     """One gateway as its clients see it: its address and their connections."""
 
     def __init__(self, index: int, port: int) -> None:
@@ -147,7 +147,7 @@
     """The clients of one process, and how late it ran."""
 
     def __init__(self) -> None:
-        self.gateways: list[Gateway] = []
+        self.gateways: list[GatewayPolicy] = []
         self.ids = itertools.count(1)
         self.lag = LagMeter()
 
@@ -155,7 +155,7 @@
         self, gateways: list[list[int]], customers: int, fleet: int, spread: int, seed: int
     ) -> None:
         """Name the gateways, each by its number and port, and the customers of the fleet."""
-        self.gateways = [Gateway(index, port) for index, port in gateways]
+        self.gateways = [GatewayPolicy(index, port) for index, port in gateways]
         self.customers = Customers(customers, fleet, spread, seed)
 
     async def run(self, rate: float, seconds: float) -> dict[str, Any]:
@@ -175,7 +175,7 @@
         self._give_up(end)
         return result.summary()
 
-    def _send(self, gateway: Gateway, result: Result) -> None:
+    def _send(self, gateway: GatewayPolicy, result: Result) -> None:
         if result.open >= MOST_OPEN:
             result.unsent += 1
             return
--- a/scale/measured.py
+++ b/scale/measured.py
@@ -9,7 +9,7 @@
 import time
 from typing import Any, NamedTuple
 
-from roadpulley.discovery import host_number
+from gateway.network.endpoint_watch import backend_id_of
 
 from .hollow import Hollow, freeze, give_requests, resident_mb
 from .settings import Customers
@@ -102,7 +102,7 @@
         assert self.gateway is not None
         self.gateway.begin()
         self.stamps.clear()
-        self.marker, self.marked = host_number(marker) if marker else -1, False
+        self.marker, self.marked = backend_id_of(marker) if marker else -1, False
         if self.ticker is not None:
             self.ticker.begin()
         self.cpu = time.process_time()
--- a/scale/program.py
+++ b/scale/program.py
@@ -8,8 +8,8 @@
 
 from .errors import RunProblem, UsageProblem
 
-PARTS = ("mintford", "roadpulley")
-NEEDED = ("mintford/__init__.py", "roadpulley/__init__.py", "roadpulley/__main__.py")
+PARTS = ("gateway",)
+NEEDED = ("gateway/__init__.py", "gateway/__main__.py")
 
 
 def checkout(folder: str) -> Path:
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -10,4 +10,4 @@
 @pytest.fixture(autouse=True)
 def quick_drain(monkeypatch: pytest.MonkeyPatch) -> None:
     """Gateways in tests have no front that still sends them connections."""
-    monkeypatch.setattr("roadpulley.__main__.drain_times", lambda settings: (0.01, 3.4))
+    monkeypatch.setattr("gateway.__main__.drain_times", lambda settings: (0.01, 3.4))
--- a/tests/test_backends.py
+++ b/tests/network/test_backend_pool.py
@@ -8,12 +8,23 @@
 from typing import Any
 
 import pytest
-from loopback import LOCAL, Backend, Reply, Server, World, encode, in_loop, request, running, until
 
-from mintford.interface import BackendState, Outcome
-from roadpulley import backends as module
-from roadpulley.backends import Attempt, Backends
-from roadpulley.clock import Timers, now_ms
+from gateway.network import backend_pool as module
+from gateway.network.backend_pool import Attempt, BackendPool
+from gateway.network.timers import TimerQueue, now_ms
+from gateway.policy.events import EndpointState, Outcome
+from tests.support.loopback import (
+    LOCAL,
+    Backend,
+    Reply,
+    Server,
+    World,
+    encode,
+    in_loop,
+    request,
+    running,
+    until,
+)
 
 VALUE = b"*3\r\n$5\r\nvalue\r\n"
 SERVED = VALUE + b"$-1\r\n$-1\r\n"
@@ -46,14 +57,14 @@
 
 
 @asynccontextmanager
-async def pool(*servers: Server, **given: Any) -> AsyncIterator[Backends]:
+async def pool(*servers: Server, **given: Any) -> AsyncIterator[BackendPool]:
     loop = asyncio.get_running_loop()
-    values: dict[str, Any] = dict(connect_timeout=250, keepalive=15_000, drain_grace=1_000, most=50)
+    values: dict[str, Any] = dict(connect_timeout=250, keepalive=15_000, drain_grace_ms=1_000, most=50)
     values["memory"] = 10_000_000
-    made = Backends(loop, Timers(loop), **{**values, **given})
+    made = BackendPool(loop, TimerQueue(loop), **{**values, **given})
     for number, server in enumerate(servers):
         await server.start()
-        made.update(number, (LOCAL, server.port), BackendState.READY)
+        made.update(number, (LOCAL, server.port), EndpointState.READY)
     try:
         yield made
     finally:
@@ -62,7 +73,7 @@
             await server.stop()
 
 
-async def rested(pool: Backends) -> None:
+async def rested(pool: BackendPool) -> None:
     """Until the idle connections may be used again."""
     idle = [connection for host in pool.hosts.values() for connection in host.idle]
     await until(lambda: all(now_ms() - connection.idle_since > module.REST_MS for connection in idle))
@@ -71,7 +82,7 @@
 class Try:
     """An attempt and how it ended."""
 
-    def __init__(self, pool: Backends, backend: int = 0, wait: float = 3000, body: bytes = b"") -> None:
+    def __init__(self, pool: BackendPool, backend: int = 0, wait: float = 3000, body: bytes = b"") -> None:
         self.endings: list[tuple[Outcome, bytes]] = []
         self.over = asyncio.Event()
         self.attempt = Attempt(backend, self.encode, now_ms() + wait, self.ended)
@@ -95,13 +106,13 @@
     ("reply", "outcome"),
     [
         (SERVED, Outcome.OK),
-        (b"-BUSY\r\n", Outcome.FULL),
-        (b"-BUSY queue\r\n", Outcome.FULL),
+        (b"-BUSY\r\n", Outcome.QUEUE_FULL),
+        (b"-BUSY queue\r\n", Outcome.QUEUE_FULL),
         (b"-ERR failed\r\n", Outcome.FAILED),
         (b"-ERR failed inflight=7\r\n", Outcome.FAILED),
         (b"-OTHER\r\n", Outcome.FAILED),
-        (b"", Outcome.RESET),
-        *((spoilt, Outcome.RESET) for spoilt in SPOILT),
+        (b"", Outcome.CONNECTION_RESET),
+        *((spoilt, Outcome.CONNECTION_RESET) for spoilt in SPOILT),
         *((VALUE + after, Outcome.OK) for after in UNREADABLE),
     ],
 )
@@ -177,7 +188,7 @@
 
 
 def test_connections_are_used_no_longer_than_they_turn_out_to_hold() -> None:
-    """Backends may drop idle connections unheard long before the time in the settings."""
+    """BackendPool may drop idle connections unheard long before the time in the settings."""
 
     async def scenario() -> None:
         seen: set[asyncio.StreamWriter] = set()
@@ -194,7 +205,7 @@
                 for connection in [c for host in made.hosts.values() for c in host.idle]:
                     connection.idle_since -= 300
                 outcomes.append((await Try(made).result())[0])
-            assert outcomes.count(Outcome.RESET) <= 3 and outcomes[-5:] == [Outcome.OK] * 5
+            assert outcomes.count(Outcome.CONNECTION_RESET) <= 3 and outcomes[-5:] == [Outcome.OK] * 5
             assert made.freshness.limit == 200
             for _ in range(60):
                 made.freshness.fade()
@@ -204,7 +215,7 @@
 
 
 def test_losses_that_new_connections_share_say_nothing_of_age() -> None:
-    freshness = module.Freshness()
+    freshness = module.IdleLossEstimator()
     for turn in range(100):
         for age in (None, 50.0, 300.0):
             freshness.note(age, lost=turn % 5 == 0)
@@ -230,7 +241,7 @@
             first = Try(made)
             await until(lambda: made.held > 390_000)
             second = Try(made)
-            assert (await second.result())[0] is Outcome.RESET
+            assert (await second.result())[0] is Outcome.CONNECTION_RESET
             go_on.set()
             assert await first.result() == (Outcome.OK, value)
             assert made.held == 0
@@ -243,8 +254,8 @@
         server = Backend()
         async with pool(server) as made:
             server.server.close()
-            assert await Try(made).result() == (Outcome.CONNECT, b"")
-            assert await Try(made, backend=9).result() == (Outcome.CONNECT, b"")  # never listed
+            assert await Try(made).result() == (Outcome.CONNECT_ERROR, b"")
+            assert await Try(made, backend=9).result() == (Outcome.CONNECT_ERROR, b"")  # never listed
 
     in_loop(scenario)
 
@@ -267,7 +278,7 @@
             assert connection is not None
             await until(lambda: server.accepted and connection.writing)
             server.go_on.set()
-            assert (await tried.result())[0] is Outcome.CONNECT
+            assert (await tried.result())[0] is Outcome.CONNECT_ERROR
 
     in_loop(scenario)
 
@@ -355,11 +366,11 @@
 
     async def scenario() -> None:
         server = Backend()
-        async with pool(server, drain_grace=0) as made:
+        async with pool(server, drain_grace_ms=0) as made:
             tried = Try(made)  # the connection is not up yet
-            made.update(0, (LOCAL, server.port), BackendState.DRAINING)
-            assert (await tried.result())[0] is Outcome.CONNECT
-            assert (await Try(made).result())[0] is Outcome.CONNECT
+            made.update(0, (LOCAL, server.port), EndpointState.DRAINING)
+            assert (await tried.result())[0] is Outcome.CONNECT_ERROR
+            assert (await Try(made).result())[0] is Outcome.CONNECT_ERROR
             await until(lambda: not server.open)
             assert not server.got
 
@@ -370,7 +381,7 @@
     async def scenario() -> None:
         server = Backend()
         async with pool(server) as made:
-            assert (await Try(made, wait=0).result())[0] is Outcome.IGNORED
+            assert (await Try(made, wait=0).result())[0] is Outcome.NOT_STARTED
             assert not server.got
 
     in_loop(scenario)
@@ -383,8 +394,8 @@
         server = Backend()
         async with pool(server) as made:
             tried = Try(made)  # the connection is not up before the next turn of the loop
-            tried.attempt.latest = now_ms()
-            assert (await tried.result())[0] is Outcome.CONNECT
+            tried.attempt.start_before = now_ms()
+            assert (await tried.result())[0] is Outcome.CONNECT_ERROR
             assert not server.got
 
     in_loop(scenario)
@@ -396,7 +407,7 @@
         async with pool(server) as made:
             tried = Try(made)
             made.give_up(tried.attempt, Outcome.TIMED_OUT)
-            assert (await tried.result())[0] is Outcome.CONNECT
+            assert (await tried.result())[0] is Outcome.CONNECT_ERROR
 
     in_loop(scenario)
 
@@ -412,7 +423,7 @@
             held = Try(made, backend=1)
             await until(lambda: second.got)
             await until(lambda: first.ended)
-            assert (await Try(made).result())[0] is Outcome.CONNECT
+            assert (await Try(made).result())[0] is Outcome.CONNECT_ERROR
             assert not held.endings and len(made.connections) == 1
 
     in_loop(scenario)
@@ -424,7 +435,7 @@
         async with pool(old) as made:
             await new.start()
             assert (await Try(made).result())[0] is Outcome.OK
-            made.update(0, (LOCAL, new.port), BackendState.READY)
+            made.update(0, (LOCAL, new.port), EndpointState.READY)
             assert (await Try(made).result())[0] is Outcome.OK
             assert len(old.got) == len(new.got) == 1
             await until(lambda: old.ended)
@@ -469,7 +480,7 @@
         async with pool(server) as made:
             listed = {number: (LOCAL, server.port) for number in range(2_000)}
             for number, address in listed.items():
-                made.update(number, address, BackendState.READY)
+                made.update(number, address, EndpointState.READY)
             assert not made.hosts
             assert (await Try(made, 7).result())[0] is Outcome.OK
             assert set(made.hosts) == {7}
@@ -480,7 +491,7 @@
             assert not made.hosts
             assert (await Try(made, 7).result())[0] is Outcome.OK
             made.keep({number: made.addresses[number] for number in range(7)})
-            assert (await Try(made, 9).result())[0] is Outcome.CONNECT, "the whole list leaves it out"
+            assert (await Try(made, 9).result())[0] is Outcome.CONNECT_ERROR, "the whole list leaves it out"
             assert not made.hosts[7].idle and made.hosts[7].cutoff < float("inf"), "no more than its grace"
 
     in_loop(scenario)
--- a/tests/test_backoff.py
+++ b/tests/network/test_backoff.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from roadpulley.backoff import LONGEST_S, TOLD_S, Backoff
+from gateway.network.backoff import LONGEST_S, TOLD_S, Backoff
 
 PATIENCE_S = 2.0  # what waits longer in the service's line is turned away, when its turn comes
 
--- a/tests/test_clients.py
+++ b/tests/network/test_client_listener.py
@@ -10,10 +10,10 @@
 
 import hiredis
 import pytest
-from loopback import Backend, Peer, Reply, World, encode, in_loop, request, running, until
 
-from roadpulley import clients
-from roadpulley.__main__ import RESERVED
+from gateway.__main__ import RESERVED
+from gateway.network import client_listener as clients
+from tests.support.loopback import Backend, Peer, Reply, World, encode, in_loop, request, running, until
 
 
 def array(value: bytes) -> bytes:
@@ -188,17 +188,17 @@
 
 
 @contextmanager
-def server_seen(monkeypatch: pytest.MonkeyPatch) -> Iterator[list[clients.ClientServer]]:
+def server_seen(monkeypatch: pytest.MonkeyPatch) -> Iterator[list[clients.ClientListener]]:
     """The server of the gateway that is started meanwhile."""
-    seen: list[clients.ClientServer] = []
-    keep = clients.ClientServer.listen
+    seen: list[clients.ClientListener] = []
+    keep = clients.ClientListener.listen
 
-    def listen(self: clients.ClientServer, host: str, port: int) -> int:
+    def listen(self: clients.ClientListener, host: str, port: int) -> int:
         seen.append(self)
         return keep(self, host, port)
 
     with monkeypatch.context() as patch:
-        patch.setattr(clients.ClientServer, "listen", listen)
+        patch.setattr(clients.ClientListener, "listen", listen)
         yield seen
 
 
--- a/tests/test_counter.py
+++ b/tests/network/test_counter_client.py
@@ -7,13 +7,13 @@
 from contextlib import asynccontextmanager
 
 import pytest
-from loopback import LOCAL, Backend, Reply, World, in_loop, request, running, until
-from loopback import Counter as Service
 
-from mintford.interface import Outcome
-from roadpulley import counter as module
-from roadpulley.clock import Timers
-from roadpulley.counter import Counter, read_answer
+from gateway.network import counter_client as module
+from gateway.network.counter_client import Counter, read_answer
+from gateway.network.timers import TimerQueue
+from gateway.policy.events import Outcome
+from tests.support.loopback import LOCAL, Backend, Reply, World, in_loop, request, running, until
+from tests.support.loopback import Counter as Service
 
 Ending = tuple[str, Outcome, float]
 
@@ -34,7 +34,7 @@
 async def calling(service: Service, wait: float = 2_000.0) -> AsyncIterator[Calls]:
     loop = asyncio.get_running_loop()
     await service.start()
-    counter = Counter(loop, Timers(loop), (LOCAL, service.port), wait)
+    counter = Counter(loop, TimerQueue(loop), (LOCAL, service.port), wait)
     try:
         yield Calls(counter)
     finally:
@@ -85,7 +85,7 @@
 
         async with calling(Service(script)) as calls:
             calls.add()
-            assert await calls.ended(1) == [("n", Outcome.FULL, 0.0)]
+            assert await calls.ended(1) == [("n", Outcome.QUEUE_FULL, 0.0)]
 
     in_loop(scenario)
 
@@ -96,7 +96,7 @@
         async with calling(service) as calls:
             service.server.close()
             calls.add()
-            assert await calls.ended(1) == [("n", Outcome.CONNECT, 0.0)]
+            assert await calls.ended(1) == [("n", Outcome.CONNECT_ERROR, 0.0)]
             await service.start()
             calls.counter.address = (LOCAL, service.port)
             calls.add()
@@ -143,8 +143,8 @@
     ("line", "ending"),
     [
         (b"ok 12.5", (Outcome.OK, 12.5)),
-        (b"busy", (Outcome.FULL, 0.0)),
-        (b"error", (Outcome.FULL, 0.0)),
+        (b"busy", (Outcome.QUEUE_FULL, 0.0)),
+        (b"error", (Outcome.QUEUE_FULL, 0.0)),
         (b"ok -0.5\r", (Outcome.OK, -0.5)),
         (b"ok 1.5e+07", (Outcome.OK, 1.5e7)),
         *((line, None) for line in (b"ok", b"ok x", b"what", b"", b"ok nan", b"ok inf", b"ok 1_0", b"ok  1")),
--- a/tests/test_descriptors.py
+++ b/tests/network/test_descriptors.py
@@ -12,10 +12,21 @@
 from pathlib import Path
 
 import pytest
-from loopback import LOCAL, SETTINGS, Backend, Discovery, Reply, World, host, in_loop, request, until
-from test_process import ROOT, connect
 
-from roadpulley.__main__ import shares
+from gateway.__main__ import shares
+from tests.network.test_process import ROOT, connect
+from tests.support.loopback import (
+    LOCAL,
+    SETTINGS,
+    Backend,
+    Discovery,
+    Reply,
+    World,
+    host,
+    in_loop,
+    request,
+    until,
+)
 
 
 class Down(Discovery):
@@ -59,7 +70,7 @@
         process = await asyncio.create_subprocess_exec(
             "/bin/sh",
             "-c",
-            f'ulimit -n {most} && exec "{sys.executable}" -m roadpulley',
+            f'ulimit -n {most} && exec "{sys.executable}" -m gateway',
             cwd=ROOT,
             env={**os.environ, "LB_CONFIG": str(config)},
             stderr=log,
--- a/tests/test_driver.py
+++ b/tests/network/test_dispatcher.py
@@ -6,33 +6,43 @@
 import socket
 
 import pytest
-from helpers import BONUS, SAFE, Module, settings
-from loopback import LOCAL, in_loop, request, until
 
-from mintford import interface as api
-from roadpulley.backends import Backends
-from roadpulley.clients import ClientConnection, ClientServer, Slot, Terms
-from roadpulley.clock import Timers
-from roadpulley.driver import FAILED, Driver
+from gateway.network.backend_pool import BackendPool
+from gateway.network.client_listener import ClientConnection, ClientListener, PendingReply, RequestParser
+from gateway.network.dispatcher import FAILED, Dispatcher
+from gateway.network.timers import TimerQueue
+from gateway.policy.actions import IncrementCounter, Reject, StartAttempt
+from gateway.policy.events import (
+    AttemptEnded,
+    ClientDisconnected,
+    CounterResponse,
+    EndpointState,
+    Outcome,
+    RequestArrived,
+    TimerFired,
+)
+from gateway.policy.timers import TimerKind, TimerToken
+from tests.support.loopback import LOCAL, in_loop, request, until
+from tests.support.policy_harness import BONUS, SAFE, Module, settings
 
 
 class Scene:
     def __init__(self, max_open: int = 10) -> None:
         loop = asyncio.get_running_loop()
-        timers = Timers(loop)
-        self.backends = Backends(loop, timers, 250, 15_000, 1_000, 10, 1_000_000)
-        terms = settings(max_attempts=2, classes=(SAFE,))
-        self.driver = Driver(terms, 1, timers, self.backends, None, max_open)
+        timers = TimerQueue(loop)
+        self.backends = BackendPool(loop, timers, 250, 15_000, 1_000, 10, 1_000_000)
+        terms = settings(max_attempts=2, request_classes=(SAFE,))
+        self.driver = Dispatcher(terms, 1, timers, self.backends, None, max_open)
         self.module = Module()
         self.driver.gateway = self.module  # type: ignore[assignment]
-        self.terms = Terms(self.driver.settings)
-        server = ClientServer(loop, timers, self.driver, self.terms, 10, 1_000_000)
+        self.terms = RequestParser(self.driver.settings)
+        server = ClientListener(loop, timers, self.driver, self.terms, 10, 1_000_000)
         self.near, self.far = socket.socketpair()
         self.near.setblocking(False)
         self.connection = ClientConnection(server, self.near)
 
-    def ask(self, id: bytes = b"r1", wait: int = 3000) -> Slot:
-        slot = Slot(self.connection)
+    def ask(self, id: bytes = b"r1", wait: int = 3000) -> PendingReply:
+        slot = PendingReply(self.connection)
         slot.request = id.decode()
         self.connection.slots.append(slot)
         args = list(request(id, plan=BONUS.name.encode(), wait=wait))
@@ -43,9 +53,9 @@
 def test_a_fault_in_the_module_ends_its_request_with_a_failure(caplog: pytest.LogCaptureFixture) -> None:
     async def scenario() -> None:
         scene = Scene()
-        scene.module.answers[api.RequestArrived] = ValueError("what")
+        scene.module.answers[RequestArrived] = ValueError("what")
         assert scene.ask().reply == FAILED
-        scene.module.answers[api.RequestArrived] = [api.Refuse("r2", 30.5)]
+        scene.module.answers[RequestArrived] = [Reject("r2", 30.5)]
         assert scene.ask(b"r2").reply == b"-BUSY 31\r\n"
 
     in_loop(scenario)
@@ -61,7 +71,7 @@
         assert slot.reply is None
         await until(lambda: slot.answered)
         assert slot.reply == FAILED and not scene.driver.requests
-        assert scene.module.of(api.RequestLapsed) == [api.RequestLapsed("r1")]
+        assert scene.module.of(ClientDisconnected) == [ClientDisconnected("r1")]
 
     in_loop(scenario)
 
@@ -69,16 +79,18 @@
 def test_attempts_are_limited_and_ignored_after_the_answer() -> None:
     async def scenario() -> None:
         scene = Scene()
-        send = api.Send("r1", 7)
-        scene.module.answers[api.RequestArrived] = [send, send, send, api.Refuse("r1"), send]
+        send = StartAttempt("r1", 7)
+        scene.module.answers[RequestArrived] = [send, send, send, Reject("r1"), send]
         scene.ask()
-        ended = scene.module.of(api.AttemptEnded)
-        outcomes = [(e.attempt, e.outcome, e.finished) for e in ended if isinstance(e, api.AttemptEnded)]
+        ended = scene.module.of(AttemptEnded)
+        outcomes = [
+            (e.attempt_number, e.outcome, e.request_finished) for e in ended if isinstance(e, AttemptEnded)
+        ]
         assert outcomes == [
-            (0, api.Outcome.CONNECT, False),  # a backend that was never listed
-            (1, api.Outcome.CONNECT, False),
-            (2, api.Outcome.IGNORED, False),
-            (0, api.Outcome.IGNORED, True),
+            (0, Outcome.CONNECT_ERROR, False),  # a backend that was never listed
+            (1, Outcome.CONNECT_ERROR, False),
+            (2, Outcome.NOT_STARTED, False),
+            (0, Outcome.NOT_STARTED, True),
         ]
 
     in_loop(scenario)
@@ -88,24 +100,26 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """By another one's the module would hold it to be out for ever."""
-    monkeypatch.setattr("roadpulley.clients.LOOK_MS", 0.0)
+    monkeypatch.setattr("gateway.network.client_listener.LOOK_MS", 0.0)
 
     async def scenario() -> None:
         scene = Scene()
-        scene.module.answers[api.RequestArrived] = [api.Send("r1", 7)]
+        scene.module.answers[RequestArrived] = [StartAttempt("r1", 7)]
         scene.ask()
-        scene.module.answers[api.RequestArrived] = []
+        scene.module.answers[RequestArrived] = []
         scene.ask(b"r2")
-        scene.module.answers[api.TimerFired] = [api.Send("r2", 7), api.Send("r1", 7)]
+        scene.module.answers[TimerFired] = [StartAttempt("r2", 7), StartAttempt("r1", 7)]
         scene.far.close()
-        scene.driver.give(api.TimerFired("t"))
-        ended = scene.module.of(api.AttemptEnded)
-        assert [(e.request, e.attempt, e.finished) for e in ended if isinstance(e, api.AttemptEnded)] == [
+        scene.driver.give(TimerFired(TimerToken(TimerKind.REQUEST, "t")))
+        ended = scene.module.of(AttemptEnded)
+        assert [
+            (e.request_id, e.attempt_number, e.request_finished) for e in ended if isinstance(e, AttemptEnded)
+        ] == [
             ("r1", 0, False),
             ("r2", 0, True),
             ("r1", 1, True),
         ]
-        assert len(scene.module.of(api.RequestLapsed)) == 2
+        assert len(scene.module.of(ClientDisconnected)) == 2
         assert not scene.driver.requests and not scene.driver.left
 
     in_loop(scenario)
@@ -116,14 +130,17 @@
         scene = Scene()
         server = await asyncio.start_server(lambda *_: None, LOCAL, 0)
         port = server.sockets[0].getsockname()[1]
-        scene.backends.update(7, (LOCAL, port), api.BackendState.READY)
-        scene.module.answers[api.RequestArrived] = [api.Send("r1", 7, timeout=20.0)]
-        scene.module.answers[api.AttemptEnded] = [api.Refuse("r1")]
+        scene.backends.update(7, (LOCAL, port), EndpointState.READY)
+        scene.module.answers[RequestArrived] = [StartAttempt("r1", 7, timeout_ms=20.0)]
+        scene.module.answers[AttemptEnded] = [Reject("r1")]
         slot = scene.ask()
         await until(lambda: slot.answered)
-        (ended,) = scene.module.of(api.AttemptEnded)
-        assert isinstance(ended, api.AttemptEnded)
-        assert (ended.outcome, ended.finished) == (api.Outcome.TIMED_OUT, False) and ended.lag >= 20
+        (ended,) = scene.module.of(AttemptEnded)
+        assert isinstance(ended, AttemptEnded)
+        assert (ended.outcome, ended.request_finished) == (
+            Outcome.TIMED_OUT,
+            False,
+        ) and ended.latency_ms >= 20
         assert slot.reply == b"-BUSY\r\n"
         server.close()
 
@@ -138,16 +155,16 @@
         talks: list[asyncio.StreamWriter] = []
         server = await asyncio.start_server(lambda _, writer: talks.append(writer), LOCAL, 0)
         port = server.sockets[0].getsockname()[1]
-        scene.backends.update(7, (LOCAL, port), api.BackendState.READY)
-        scene.module.answers[api.RequestArrived] = [api.Send("r1", 7), api.Refuse("r1")]
+        scene.backends.update(7, (LOCAL, port), EndpointState.READY)
+        scene.module.answers[RequestArrived] = [StartAttempt("r1", 7), Reject("r1")]
         assert scene.ask().reply == b"-BUSY\r\n"
         await until(lambda: talks)
         assert scene.ask().reply == b"-ERR id in use\r\n"
         talks[0].close()
-        await until(lambda: scene.module.of(api.AttemptEnded))
+        await until(lambda: scene.module.of(AttemptEnded))
         assert not scene.driver.attempts
         assert scene.ask().reply == b"-BUSY\r\n"
-        assert len(scene.module.of(api.RequestArrived)) == 2
+        assert len(scene.module.of(RequestArrived)) == 2
         server.close()
 
     in_loop(scenario)
@@ -166,8 +183,8 @@
 def test_without_a_counter_calls_end_as_never_made() -> None:
     async def scenario() -> None:
         scene = Scene()
-        scene.module.answers[api.RequestArrived] = [api.Count("n", 1.0, 100.0)]
+        scene.module.answers[RequestArrived] = [IncrementCounter("n", 1.0, 100.0)]
         scene.ask()
-        assert scene.module.of(api.CounterReplied) == [api.CounterReplied("n", api.Outcome.CONNECT, 0.0)]
+        assert scene.module.of(CounterResponse) == [CounterResponse("n", Outcome.CONNECT_ERROR, 0.0)]
 
     in_loop(scenario)
--- a/tests/test_endings.py
+++ b/tests/network/test_endings.py
@@ -18,8 +18,33 @@
 from dataclasses import dataclass, field
 
 import pytest
-from helpers import Module, settings
-from loopback import (
+
+from gateway.__main__ import serve
+from gateway.network import client_listener as clients
+from gateway.network.backend_pool import BackendPool
+from gateway.network.client_listener import ClientListener, Command, PendingReply, RequestParser
+from gateway.network.configuration import parse_config
+from gateway.network.counter_client import Counter as CounterClient
+from gateway.network.dispatcher import Dispatcher
+from gateway.network.endpoint_watch import MOST_TRIES, backend_id_of
+from gateway.network.resp import MOST_TAKEN
+from gateway.network.timers import TimerQueue, now_ms
+from gateway.policy.actions import Action, IncrementCounter, StartAttempt
+from gateway.policy.events import (
+    AttemptEnded,
+    ClientDisconnected,
+    CounterResponse,
+    EndpointState,
+    Event,
+    Outcome,
+    RequestArrived,
+    TimerFired,
+    UpdateKind,
+)
+from gateway.policy.settings import Idempotency, Plan, RequestClass
+from gateway.policy.timers import TimerKind, TimerToken
+from tests.network.test_backend_pool import Try, pool, rested
+from tests.support.loopback import (
     LOCAL,
     SETTINGS,
     Backend,
@@ -36,34 +61,21 @@
     running,
     until,
 )
-from test_backends import Try, pool, rested
-
-from mintford import interface as api
-from mintford.interface import ListScope
-from roadpulley import clients
-from roadpulley.__main__ import serve
-from roadpulley.backends import Backends
-from roadpulley.clients import ClientServer, Command, Slot, Terms
-from roadpulley.clock import Timers, now_ms
-from roadpulley.config import parse_config
-from roadpulley.counter import Counter as CounterClient
-from roadpulley.discovery import MOST_TRIES, host_number
-from roadpulley.driver import Driver
-from roadpulley.resp import MOST_TAKEN
+from tests.support.policy_harness import Module, settings
 
-VIEW = api.RequestClass("view", 1500, 4000, effect=api.Effect.SAFE)
-TERMS = Terms(settings(gateways=1, classes=(VIEW,), plans=(api.Plan("free"),)))
+VIEW = RequestClass("view", 1500, 4000, idempotency=Idempotency.IDEMPOTENT)
+TERMS = RequestParser(settings(gateway_count=1, request_classes=(VIEW,), plans=(Plan("free"),)))
 
 
 @dataclass
 class Holder:
     """Takes every request and answers when a test says; stands in for all that is behind the clients."""
 
-    slots: dict[str, Slot] = field(default_factory=dict)
+    slots: dict[str, PendingReply] = field(default_factory=dict)
     gone: list[str] = field(default_factory=list)
     reply: bytes = b""  # given to each at once
 
-    def on_command(self, command: Command, slot: Slot) -> None:
+    def on_command(self, command: Command, slot: PendingReply) -> None:
         self.slots[command.id] = slot
         if self.reply:
             slot.answer(self.reply)
@@ -75,9 +87,9 @@
 @contextlib.asynccontextmanager
 async def served(
     most: int = 100, memory: int = 1_000_000
-) -> AsyncIterator[tuple[ClientServer, Holder, int]]:
+) -> AsyncIterator[tuple[ClientListener, Holder, int]]:
     loop, holder = asyncio.get_running_loop(), Holder()
-    server = ClientServer(loop, Timers(loop), holder, TERMS, most, memory)
+    server = ClientListener(loop, TimerQueue(loop), holder, TERMS, most, memory)
     port = server.listen(LOCAL, 0)
     yield server, holder, port
     server.drain()
@@ -88,14 +100,16 @@
 @contextlib.asynccontextmanager
 async def joined(
     module: Module | None = None, counter: CounterClient | None = None, most: int = 10
-) -> AsyncIterator[tuple[Driver, Module, ClientServer, int]]:
+) -> AsyncIterator[tuple[Dispatcher, Module, ClientListener, int]]:
     """The sockets of clients and backends, joined to a scripted module."""
     loop, module = asyncio.get_running_loop(), module or Module()
-    timers = Timers(loop)
-    backends = Backends(loop, timers, 60_000, 15_000, 1_000, most, 1_000_000)
-    driver = Driver(settings(gateways=1, classes=(VIEW,)), 1, timers, backends, counter, most)
+    timers = TimerQueue(loop)
+    backends = BackendPool(loop, timers, 60_000, 15_000, 1_000, most, 1_000_000)
+    driver = Dispatcher(
+        settings(gateway_count=1, request_classes=(VIEW,)), 1, timers, backends, counter, most
+    )
     driver.gateway = module  # type: ignore[assignment]
-    server = ClientServer(loop, timers, driver, TERMS, most, 1_000_000)
+    server = ClientListener(loop, timers, driver, TERMS, most, 1_000_000)
     yield driver, module, server, server.listen(LOCAL, 0)
     server.drain()
     server.close()
@@ -293,15 +307,15 @@
                 filler.setblocking(False)
                 filler.connect_ex(address)
             async with joined() as (driver, module, server, port):
-                driver.backends.update(7, address, api.BackendState.READY)
-                module.answers[api.RequestArrived] = [api.Send("waits", 7)]
+                driver.backends.update(7, address, EndpointState.READY)
+                module.answers[RequestArrived] = [StartAttempt("waits", 7)]
                 leaver = knock(port, encode(*request(b"waits")))
                 await until(lambda: driver.attempts)
                 leaver.close()
                 await until(lambda: not server.connections)
                 assert not driver.backends.connections and not driver.attempts and not driver.requests
                 kinds = [type(event) for event in module.events]
-                assert kinds == [api.RequestArrived, api.RequestLapsed, api.AttemptEnded]
+                assert kinds == [RequestArrived, ClientDisconnected, AttemptEnded]
 
     in_loop(scenario)
 
@@ -366,23 +380,23 @@
         super().__init__()
         self.event, self.waiting = event, list[str]()
 
-    def handle(self, now: float, event: api.Event) -> list[api.Action]:
+    def handle(self, now: float, event: Event) -> list[Action]:
         super().handle(now, event)
         match event:
-            case api.RequestArrived(request) if request in ("before", "after"):
-                return [api.Send(request, SECOND)]
-            case api.RequestArrived(request):
+            case RequestArrived(request) if request in ("before", "after"):
+                return [StartAttempt(request, SECOND)]
+            case RequestArrived(request):
                 self.waiting.append(request)
                 if self.event in ("a failed attempt", "a timer"):
-                    return [api.Send(request, FIRST)]
+                    return [StartAttempt(request, FIRST)]
                 if self.event == "the counter's reply":
-                    return [api.Count("all", 1.0, 1_000.0)]
-                return [api.Send(request, SECOND)]
-            case api.TimerFired(request) | api.AttemptEnded(request, finished=False):
-                return [api.Send(request, SECOND)]
-            case api.CounterReplied():
+                    return [IncrementCounter("all", 1.0, 1_000.0)]
+                return [StartAttempt(request, SECOND)]
+            case TimerFired(TimerToken(_, request)) | AttemptEnded(request, request_finished=False):
+                return [StartAttempt(request, SECOND)]
+            case CounterResponse():
                 waiting, self.waiting = self.waiting, []
-                return [api.Send(request, SECOND) for request in waiting]
+                return [StartAttempt(request, SECOND) for request in waiting]
         return []
 
 
@@ -416,16 +430,16 @@
 
     A timer or a reply brings the first attempt or a second copy, a failed attempt the next one.
     """
-    monkeypatch.setattr("roadpulley.counter.SILENT_MS", math.inf)
+    monkeypatch.setattr("gateway.network.counter_client.SILENT_MS", math.inf)
 
     async def scenario() -> None:
         loop, first, tally, second = asyncio.get_running_loop(), Raw(), Raw(), Backend()
         await second.start()
-        counter = CounterClient(loop, Timers(loop), tally.address, 60_000.0)
+        counter = CounterClient(loop, TimerQueue(loop), tally.address, 60_000.0)
         module = Waiting(event)
         async with joined(module, counter, 2 * count + 10) as (driver, _, server, port):
-            driver.backends.update(FIRST, first.address, api.BackendState.READY)
-            driver.backends.update(SECOND, (LOCAL, second.port), api.BackendState.READY)
+            driver.backends.update(FIRST, first.address, EndpointState.READY)
+            driver.backends.update(SECOND, (LOCAL, second.port), EndpointState.READY)
             other = await connect(port)
             other.send(*request(b"before"))  # leaves a connection on which an attempt is written at once
             assert await other.receive() == b"value"
@@ -454,14 +468,16 @@
                     near[0].sendall(b"ok 1\r\n")
                 else:
                     for id in ids:
-                        told = functools.partial(driver.give, api.TimerFired(id.decode()))
+                        told = functools.partial(
+                            driver.give, TimerFired(TimerToken(TimerKind.REQUEST, id.decode()))
+                        )
                         driver.timers.at(now_ms(), told)
                 for leaver in leavers:
                     leaver.close()
                 time.sleep(HELD_UP_S)
 
             await among_the_events(held_up)
-            await until(lambda: len(module.of(api.RequestLapsed)) == count)
+            await until(lambda: len(module.of(ClientDisconnected)) == count)
             other.send(*request(b"after"))
             assert await other.receive() == b"value"
             assert [command[2] for command in second.got] == [b"before", b"after"]
@@ -488,8 +504,8 @@
                 filler.setblocking(False)
                 filler.connect_ex(address)
             async with joined() as (driver, module, server, port):
-                driver.backends.update(FIRST, address, api.BackendState.READY)
-                module.answers[api.RequestArrived] = [api.Send("waits", FIRST)]
+                driver.backends.update(FIRST, address, EndpointState.READY)
+                module.answers[RequestArrived] = [StartAttempt("waits", FIRST)]
                 leaver = knock(port, encode(*request(b"waits")))
                 await until(lambda: driver.attempts)
                 (connection,) = driver.backends.connections
@@ -606,8 +622,8 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """It never ran, so that its client may ask elsewhere; a backend's answer could not come in time."""
-    monkeypatch.setattr("roadpulley.__main__.drain_times", lambda settings: (0.01, 0.05))
-    monkeypatch.setattr("roadpulley.__main__.CLOSING_S", 10.0)
+    monkeypatch.setattr("gateway.__main__.drain_times", lambda settings: (0.01, 0.05))
+    monkeypatch.setattr("gateway.__main__.CLOSING_S", 10.0)
 
     async def silent(command: list[bytes]) -> Reply:
         return None
@@ -664,7 +680,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """What it holds at its return counts as told at once: one lost call must not be waited for."""
-    monkeypatch.setattr("roadpulley.discovery.SILENT_S", 3600.0)
+    monkeypatch.setattr("gateway.network.endpoint_watch.SILENT_S", 3600.0)
 
     async def scenario() -> None:
         async with Watch(service=Agent(), again=0.01) as watch:
@@ -683,7 +699,7 @@
 
 def test_a_gateway_starts_with_what_the_agent_holds(monkeypatch: pytest.MonkeyPatch) -> None:
     """The list in its configuration may be old, and a drain that the agent knows of counts as told."""
-    monkeypatch.setattr("roadpulley.__main__.AGENT_S", 3600.0)
+    monkeypatch.setattr("gateway.__main__.AGENT_S", 3600.0)
 
     async def scenario() -> None:
         drained, other = Backend(), Backend()
@@ -709,7 +725,7 @@
 
 
 def test_a_start_goes_on_without_an_agent(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("roadpulley.__main__.AGENT_S", 0.05)
+    monkeypatch.setattr("gateway.__main__.AGENT_S", 0.05)
 
     async def scenario() -> None:
         world = World(Backend())
@@ -791,7 +807,7 @@
             watch.service.say(after)
             await watch.watched(2)
             assert watch.service.requests[1:] == ["/catalog/members", "/catalog/members?stream=1&index=44"]
-            assert watch.heard == [(ListScope.FULL, [(host_number("h1"), api.BackendState.READY)])]
+            assert watch.heard == [(UpdateKind.SNAPSHOT, [(backend_id_of("h1"), EndpointState.READY)])]
 
     in_loop(scenario)
 
@@ -830,14 +846,14 @@
     async def scenario() -> None:
         raw = Raw()
         async with pool() as made:
-            made.update(0, raw.address, api.BackendState.READY)
+            made.update(0, raw.address, EndpointState.READY)
             tried = Try(made)
             near = await raw.taken(1)
             near.sendall(said)
             await until(lambda: made.held == len(said))
             near.shutdown(socket.SHUT_RDWR)
             raw.reset(near)
-            assert await tried.result() == (api.Outcome.RESET, b"")
+            assert await tried.result() == (Outcome.CONNECTION_RESET, b"")
             assert not made.connections and made.held == 0
         raw.listener.close()
 
@@ -846,20 +862,20 @@
 
 def test_a_close_that_crosses_a_send_may_have_run(monkeypatch: pytest.MonkeyPatch) -> None:
     """The backend's close is on its way as the request is written: nobody here can know yet."""
-    monkeypatch.setattr("roadpulley.backends.Connection.alive", lambda connection: True)
+    monkeypatch.setattr("gateway.network.backend_pool.Connection.alive", lambda connection: True)
 
     async def scenario() -> None:
         raw = Raw()
         async with pool() as made:
-            made.update(0, raw.address, api.BackendState.READY)
+            made.update(0, raw.address, EndpointState.READY)
             first = Try(made)
             near = await raw.taken(1)
             near.sendall(ANSWER)
-            assert (await first.result())[0] is api.Outcome.OK
+            assert (await first.result())[0] is Outcome.OK
             await rested(made)
             near.shutdown(socket.SHUT_RDWR)
             second = Try(made)  # in the same turn of the loop
-            assert (await second.result())[0] is api.Outcome.RESET
+            assert (await second.result())[0] is Outcome.CONNECTION_RESET
             assert not made.connections
         raw.listener.close()
 
@@ -872,17 +888,17 @@
     async def scenario() -> None:
         raw = Raw()
         async with pool() as made:
-            made.update(0, raw.address, api.BackendState.READY)
+            made.update(0, raw.address, EndpointState.READY)
             tried = Try(made)
             near = await raw.taken(1)
             near.sendall(ANSWER)
-            made.give_up(tried.attempt, api.Outcome.TIMED_OUT)
-            made.give_up(tried.attempt, api.Outcome.CANCELLED)
-            assert tried.endings == [(api.Outcome.TIMED_OUT, b"")] and not made.connections
+            made.give_up(tried.attempt, Outcome.TIMED_OUT)
+            made.give_up(tried.attempt, Outcome.CANCELLED)
+            assert tried.endings == [(Outcome.TIMED_OUT, b"")] and not made.connections
             again = Try(made)  # on a connection of its own: the old answer is not its
             near = await raw.taken(1)
             near.sendall(ANSWER.replace(b"value", b"other"))
-            assert await again.result() == (api.Outcome.OK, b"other")
+            assert await again.result() == (Outcome.OK, b"other")
             assert len(tried.endings) == 1
         raw.listener.close()
 
@@ -906,7 +922,7 @@
             loop.add_reader(near, held_up)
             far.send(b"go")
             await until(lambda: tries)
-            assert await tries[0].result() == (api.Outcome.OK, b"value")
+            assert await tries[0].result() == (Outcome.OK, b"value")
             near.close()
             far.close()
 
--- a/tests/test_discovery.py
+++ b/tests/network/test_endpoint_watch.py
@@ -9,14 +9,14 @@
 from typing import Any
 
 import pytest
-from helpers import settings
-from loopback import LOCAL, Backend, Discovery, Watch, World, host, in_loop, running, until
 
-from mintford import Gateway
-from mintford.interface import BackendsChanged, BackendState, ListScope
-from roadpulley import discovery as module
-from roadpulley.backoff import Backoff
-from roadpulley.discovery import DiscoveryError, Member, host_number, read_list
+from gateway.network import endpoint_watch as module
+from gateway.network.backoff import Backoff
+from gateway.network.endpoint_watch import EndpointListError, Member, backend_id_of, parse_endpoint_list
+from gateway.policy import GatewayPolicy
+from gateway.policy.events import EndpointState, EndpointUpdate, UpdateKind
+from tests.support.loopback import LOCAL, Backend, Discovery, Watch, World, host, in_loop, running, until
+from tests.support.policy_harness import settings
 
 
 def test_changes_are_followed_from_the_known_version_on() -> None:
@@ -29,8 +29,8 @@
             watch.service.change(43, host("h1", 1), whole=True)
             await until(lambda: len(watch.heard) == 2)
             assert watch.heard == [
-                (ListScope.CHANGES, [(host_number("h0"), BackendState.DRAINING)]),
-                (ListScope.FULL, [(host_number("h1"), BackendState.READY)]),
+                (UpdateKind.DELTA, [(backend_id_of("h0"), EndpointState.DRAINING)]),
+                (UpdateKind.SNAPSHOT, [(backend_id_of("h1"), EndpointState.READY)]),
             ]
 
     in_loop(scenario)
@@ -43,7 +43,7 @@
             await watch.watched(1)
             assert watch.service.requests[0] == "/catalog/members"
             assert watch.service.requests[1] == "/catalog/members?stream=1&index=7"
-            assert [scope for scope, _ in watch.heard] == [ListScope.FULL]
+            assert [scope for scope, _ in watch.heard] == [UpdateKind.SNAPSHOT]
 
     in_loop(scenario)
 
@@ -79,7 +79,7 @@
             watch.service.change(42, {"host": "h0"})
             await until(lambda: "/catalog/members" in watch.service.requests)
             await watch.watched(2)
-            assert [scope for scope, _ in watch.heard] == [] or watch.heard[0][0] is ListScope.FULL
+            assert [scope for scope, _ in watch.heard] == [] or watch.heard[0][0] is UpdateKind.SNAPSHOT
 
     in_loop(scenario)
 
@@ -91,7 +91,7 @@
             take, faults = watch.take, [RuntimeError("not now")]
 
             def faulty(
-                scope: ListScope, members: tuple[Member, ...], first: bool = True, last: bool = True
+                scope: UpdateKind, members: tuple[Member, ...], first: bool = True, last: bool = True
             ) -> None:
                 if faults:
                     raise faults.pop()
@@ -101,7 +101,7 @@
             watch.service.whole = {"seq": 43, "whole": True, "hosts": [host("h1", 1)]}
             watch.service.change(42, host("h0", 1))
             await watch.watched(2)
-            assert watch.heard == [(ListScope.FULL, [(host_number("h1"), BackendState.READY)])]
+            assert watch.heard == [(UpdateKind.SNAPSHOT, [(backend_id_of("h1"), EndpointState.READY)])]
 
     in_loop(scenario)
 
@@ -119,12 +119,12 @@
     ],
 )
 def test_a_malformed_list_is_named(raw: Any) -> None:
-    with pytest.raises(DiscoveryError):
-        read_list(raw)
+    with pytest.raises(EndpointListError):
+        parse_endpoint_list(raw)
 
 
 def test_a_host_has_one_number_everywhere() -> None:
-    assert host_number("s-5be2a07c") == host_number("s-5be2a07c") != host_number("s-5be2a07d")
+    assert backend_id_of("s-5be2a07c") == backend_id_of("s-5be2a07c") != backend_id_of("s-5be2a07d")
 
 
 def test_a_drained_backend_gets_nothing_new_and_a_new_one_is_used() -> None:
@@ -156,7 +156,10 @@
                 watch.client.move((LOCAL, new.port))
                 await until(lambda: new.watches)  # noqa: B023
                 assert new.requests == ["/catalog/members", "/catalog/members?stream=1&index=7"]
-                assert watch.heard[-1] == (ListScope.FULL, [(host_number(f"h{turn}"), BackendState.READY)])
+                assert watch.heard[-1] == (
+                    UpdateKind.SNAPSHOT,
+                    [(backend_id_of(f"h{turn}"), EndpointState.READY)],
+                )
                 await until(lambda: not watch.service.open)
                 await watch.service.stop()
                 watch.service = new
@@ -224,9 +227,9 @@
             turns = 0
 
             def take(
-                scope: ListScope, members: tuple[Member, ...], first: bool = True, last: bool = True
+                scope: UpdateKind, members: tuple[Member, ...], first: bool = True, last: bool = True
             ) -> None:
-                assert scope is ListScope.FULL
+                assert scope is UpdateKind.SNAPSHOT
                 parts.append((len(members), first, last))
                 turns_at.append(turns)
 
@@ -252,7 +255,7 @@
             turns, at = 0, Tally[int]()
 
             def take(
-                scope: ListScope, members: tuple[Member, ...], first: bool = True, last: bool = True
+                scope: UpdateKind, members: tuple[Member, ...], first: bool = True, last: bool = True
             ) -> None:
                 at[turns] += len(members)
 
@@ -272,14 +275,14 @@
 
     async def scenario() -> None:
         async with Watch() as watch:
-            gateway = Gateway(settings(), 1)
+            gateway = GatewayPolicy(settings(), 1)
             lasts = []
 
             def take(
-                scope: ListScope, members: tuple[Member, ...], first: bool = True, last: bool = True
+                scope: UpdateKind, members: tuple[Member, ...], first: bool = True, last: bool = True
             ) -> None:
                 lasts.append(last)
-                gateway.handle(1.0, BackendsChanged(scope, tuple(m.entry for m in members), first, last))
+                gateway.handle(1.0, EndpointUpdate(scope, tuple(m.entry for m in members), first, last))
 
             watch.client.listener = take
             await watch.watched(1)
@@ -289,7 +292,7 @@
             watch.service.say(json.dumps(broken).encode())
             await watch.watched(2)
             assert len(lasts) > 2 and lasts[-1] and not any(lasts[:-1])
-            assert [b.id for b in gateway.subset] == [host_number("good")]
+            assert [b.id for b in gateway.subset] == [backend_id_of("good")]
 
     in_loop(scenario)
 
--- a/tests/test_told_in_time.py
+++ b/tests/network/test_notification_bound.py
@@ -8,12 +8,12 @@
 from collections.abc import Awaitable, Callable
 
 import pytest
-from loopback import LOCAL, Discovery, Watch, host
-from virtual import in_virtual_time
 
-from mintford.interface import BackendState, ListScope
-from roadpulley import discovery as module
-from roadpulley.backoff import TOLD_S, Backoff
+from gateway.network import endpoint_watch as module
+from gateway.network.backoff import TOLD_S, Backoff
+from gateway.policy.events import EndpointState, UpdateKind
+from tests.support.loopback import LOCAL, Discovery, Watch, host
+from tests.support.virtual_time import in_virtual_time
 
 FLEET = 200  # its waits after a refusal are the longest from the first one on
 ANSWER_S = 0.4  # of a service that has to be asked; an agent answers at once
@@ -177,9 +177,9 @@
             drain_told = asyncio.Event()
 
             def take(
-                scope: ListScope, members: tuple[module.Member, ...], first: bool = True, last: bool = True
+                scope: UpdateKind, members: tuple[module.Member, ...], first: bool = True, last: bool = True
             ) -> None:
-                if any(member.entry.state is BackendState.DRAINING for member in members):
+                if any(member.entry.state is EndpointState.DRAINING for member in members):
                     drain_told.set()
 
             watch.client.listener = take
--- a/tests/test_other_settings.py
+++ b/tests/network/test_other_settings.py
@@ -7,7 +7,8 @@
 
 import hiredis
 import pytest
-from loopback import SETTINGS, Backend, Reply, World, in_loop, request, running, until
+
+from tests.support.loopback import SETTINGS, Backend, Reply, World, in_loop, request, running, until
 
 SERVED = b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n"
 SHORT, LONG = 400.0, 9_000.0  # deadlines
--- a/tests/test_process.py
+++ b/tests/network/test_process.py
@@ -14,22 +14,34 @@
 from pathlib import Path
 
 import pytest
-from helpers import settings
-from loopback import LOCAL, Backend, Peer, Reply, Server, Watch, World, in_loop, request, running, until
 
-from mintford import interface as api
-from roadpulley import clock
-from roadpulley.__main__ import drain_times, reload
-from roadpulley.config import ConfigError, load_config, parse_config
+from gateway.__main__ import drain_times, reload
+from gateway.network import timers as clock
+from gateway.network.configuration import ConfigError, load_config, parse_config
+from gateway.policy.settings import RequestClass
+from tests.support.loopback import (
+    LOCAL,
+    Backend,
+    Peer,
+    Reply,
+    Server,
+    Watch,
+    World,
+    in_loop,
+    request,
+    running,
+    until,
+)
+from tests.support.policy_harness import settings
 
-ROOT = Path(__file__).parents[1]
+ROOT = Path(__file__).parents[2]
 
 
 async def start(config: Path) -> asyncio.subprocess.Process:
     return await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
-        "roadpulley",
+        "gateway",
         cwd=ROOT,
         env={**os.environ, "LB_CONFIG": str(config)},
         stderr=asyncio.subprocess.PIPE,
@@ -138,7 +150,7 @@
 
 def test_what_is_open_at_the_end_is_failed_rather_than_lost(monkeypatch: pytest.MonkeyPatch) -> None:
     """SIGKILL would leave its client without an answer; whether it ran is not known, so it is no refusal."""
-    monkeypatch.setattr("roadpulley.__main__.drain_times", lambda settings: (0.05, 0.1))
+    monkeypatch.setattr("gateway.__main__.drain_times", lambda settings: (0.05, 0.1))
 
     async def silent(command: list[bytes]) -> Reply:
         return None
@@ -164,14 +176,14 @@
     aim: float, deadline: float, times: tuple[float, float]
 ) -> None:
     """SIGKILL comes no sooner than the longest deadline, 3 s at most, and 0.7 s more."""
-    kind = api.RequestClass("view", aim, deadline)
-    assert drain_times(settings(classes=(kind,))) == pytest.approx(times)
+    kind = RequestClass("view", aim, deadline)
+    assert drain_times(settings(request_classes=(kind,))) == pytest.approx(times)
     assert times[1] <= min(deadline / 1000, 3) + 0.7
 
 
 def test_connections_that_clients_have_are_served_while_draining(monkeypatch: pytest.MonkeyPatch) -> None:
     """The place of this gateway is empty until it is back."""
-    monkeypatch.setattr("roadpulley.__main__.drain_times", lambda settings: (0.3, 0.6))
+    monkeypatch.setattr("gateway.__main__.drain_times", lambda settings: (0.3, 0.6))
 
     async def scenario() -> None:
         async with running(World(Backend())) as world:
@@ -223,7 +235,7 @@
     config = tmp_path / "config.json"
     config.write_text(text, errors="surrogateescape")
     run = subprocess.run(
-        [sys.executable, "-m", "roadpulley"],
+        [sys.executable, "-m", "gateway"],
         cwd=ROOT,
         env={**os.environ, "LB_CONFIG": str(config)},
         capture_output=True,
@@ -231,7 +243,7 @@
         timeout=30,
     )
     assert run.returncode == 2 and run.stderr.count("\n") == 1
-    assert run.stderr.startswith("roadpulley: bad configuration: ")
+    assert run.stderr.startswith("gateway: bad configuration: ")
 
 
 def test_the_settings_are_those_of_the_simulator_s_wire() -> None:
@@ -243,7 +255,7 @@
             "settings": {"selfIndex": 2, "caps": {"maxAttempts": 4, "keepalive": 9000.0}},
         }
     )
-    assert config.settings.index == 2 and config.settings.max_attempts == 4
+    assert config.settings.gateway_index == 2 and config.settings.max_attempts == 4
     assert (config.keepalive, config.seed, config.counter) == (9000.0, 255, None)
     with pytest.raises(ConfigError):
         parse_config({"listen": "10.0.0.4:6379", "discovery": "x", "settings": {}})
@@ -253,14 +265,14 @@
 def test_a_retry_after_is_given_only_where_the_settings_allow_it(allowed: bool, most: float) -> None:
     caps = {"retryAfter": allowed, "maxRetryAfter": 800.0}
     raw = {"listen": "10.0.0.4:1", "discovery": "10.2.0.1:1", "settings": {"caps": caps}}
-    assert parse_config(raw).settings.max_retry_after == most
+    assert parse_config(raw).settings.max_retry_after_ms == most
 
 
 def test_timers_never_come_early_and_keep_their_order(monkeypatch: pytest.MonkeyPatch) -> None:
     """The module ignores a timer that comes early, and the request it was for would never be ended."""
 
     async def scenario() -> None:
-        timers = clock.Timers(asyncio.get_running_loop())
+        timers = clock.TimerQueue(asyncio.get_running_loop())
         start = clock.now_ms()
         early: list[float] = []
         fired: list[int] = []
@@ -281,7 +293,7 @@
 
 def test_a_cancelled_timer_is_silent_and_wakes_nobody() -> None:
     async def scenario() -> None:
-        timers = clock.Timers(asyncio.get_running_loop())
+        timers = clock.TimerQueue(asyncio.get_running_loop())
         fired: list[str] = []
         start = clock.now_ms()
         timers.at(start + 5, lambda: fired.append("cancelled")).cancel()
--- a/tests/test_starts.py
+++ b/tests/network/test_starts.py
@@ -14,8 +14,9 @@
 from pathlib import Path
 
 import pytest
-from loopback import LOCAL, Discovery, Peer, World, host, in_loop
-from test_process import ROOT
+
+from tests.network.test_process import ROOT
+from tests.support.loopback import LOCAL, Discovery, Peer, World, host, in_loop
 
 PROCESSES = 20
 READY_S, SHARE = 10.0, 0.9  # nine in ten restarted processes are ready within 10 s
@@ -74,7 +75,7 @@
             process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
-                "roadpulley",
+                "gateway",
                 cwd=ROOT,
                 env={**os.environ, "LB_CONFIG": str(config)},
                 stderr=asyncio.subprocess.DEVNULL,
--- a/tests/test_fleet.py
+++ b/tests/policy/test_fleet.py
@@ -7,14 +7,14 @@
 from typing import NamedTuple
 
 import pytest
-from fleet import Caller, Fleet, Store
 
-from mintford import interface as api
-from mintford.bucket import MEMORY_MS, PERIOD_MS, SharedBucket
+from gateway.policy.settings import Plan
+from gateway.policy.shared_bucket import MEMORY_MS, PERIOD_MS, SharedTokenBucket
+from tests.support.fleet import Caller, Fleet, Store
 
 GATEWAYS = 40
-SMALL = api.Plan("small", rate=0.4, burst=2, beyond_costs=1.2)
-LARGE = api.Plan("large", rate=2, burst=4, beyond_costs=0.8)
+SMALL = Plan("small", rate=0.4, burst=2, over_quota_cost=1.2)
+LARGE = Plan("large", rate=2, burst=4, over_quota_cost=0.8)
 
 
 def customers(seed: int = 5, small: int = 90, large: int = 20) -> list[Caller]:
@@ -41,7 +41,7 @@
             super().first_try(caller)
 
     callers = customers()
-    fleet = Counting(GATEWAYS, callers, counter_per_s=counter_per_s, retries=2, max_retry_after=1000.0)
+    fleet = Counting(GATEWAYS, callers, counter_per_s=counter_per_s, retries=2, max_retry_after_ms=1000.0)
     ideal = {c.name: Store(c.plan, c.plan.burst, fleet.now) for c in callers}
     seen = fleet.play(20)
     inside, beyond = (sum(seen[kind, plan.name] for plan in (SMALL, LARGE)) for kind in ("inside", "beyond"))
@@ -63,8 +63,8 @@
 
 
 FULL_SIZE = 180
-THIN = api.Plan("thin", rate=0.8, burst=4, beyond_costs=1.2)
-WIDE = api.Plan("wide", rate=4.2, burst=8, beyond_costs=0.8)
+THIN = Plan("thin", rate=0.8, burst=4, over_quota_cost=1.2)
+WIDE = Plan("wide", rate=4.2, burst=8, over_quota_cost=0.8)
 
 
 LATE_MS = 100.0  # sooner than any list or meter tells, and so a strict measure
@@ -73,7 +73,7 @@
 class LateSeer:
     """A policy that knows a customer's true store, as it was a little ago."""
 
-    def __init__(self, plan: api.Plan, now: float) -> None:
+    def __init__(self, plan: Plan, now: float) -> None:
         self.store = Store(plan, plan.burst, now)
         self.levels = deque([(now, plan.burst)])
 
@@ -87,7 +87,7 @@
             return 0.0
         inside = self.store.take(now)
         self.levels.append((now, self.store.units))
-        return 0.0 if inside else plan.beyond_costs
+        return 0.0 if inside else plan.over_quota_cost
 
 
 class QuietDay(NamedTuple):
@@ -131,7 +131,7 @@
     ideal = {c.name: Store(c.plan, c.plan.burst, fleet.now) for c in callers}
     seen = fleet.play(10)
     inside = seen["inside", THIN.name] + seen["inside", WIDE.name]
-    price = sum(seen["beyond", plan.name] * plan.beyond_costs for plan in (THIN, WIDE))
+    price = sum(seen["beyond", plan.name] * plan.over_quota_cost for plan in (THIN, WIDE))
     asked = seen["counted"] + seen["turned away"]
     answered = (seen["counted"] - seen["late"]) / asked
     return QuietDay(inside / offered, price / offered, late_price / offered, answered)
@@ -154,9 +154,11 @@
 
 def test_a_handful_out_is_not_taken_for_a_queue() -> None:
     """Danger: the ratio of five out to six answers a second jumps by chance, and every gateway refuses."""
-    free = api.Plan("free")
+    free = Plan("free")
     callers = [Caller(f"c{i}", free, 6.0, [i]) for i in range(GATEWAYS)]
-    fleet = Fleet(GATEWAYS, callers, may_count=False, answer_ms=lambda chance, _: chance.expovariate(1 / 400))
+    fleet = Fleet(
+        GATEWAYS, callers, counter_available=False, answer_ms=lambda chance, _: chance.expovariate(1 / 400)
+    )
     seen = fleet.play(30)
     assert seen["asked", "free"] > 6_000
     assert seen["refused with room", "free"] < 0.02 * seen["asked", "free"]
@@ -164,14 +166,14 @@
 
 def test_a_handful_out_at_slow_backends_is_still_shed() -> None:
     """Danger: no gateway of a large fleet sees a queue, and all of them wait in it."""
-    free = api.Plan("free")
+    free = Plan("free")
     callers = [Caller(f"c{i}", free, 6.0, [i]) for i in range(GATEWAYS)]
-    fleet = Fleet(GATEWAYS, callers, may_count=False, answer_ms=lambda *_: 1_500.0)
+    fleet = Fleet(GATEWAYS, callers, counter_available=False, answer_ms=lambda *_: 1_500.0)
     seen = fleet.play(30)
     assert seen["refused with room", "free"] > 0.3 * seen["asked", "free"]
 
 
-BUCKET = SharedBucket.of("customer", rate=2.0, burst=8.0)
+BUCKET = SharedTokenBucket.of("customer", rate=2.0, burst=8.0)
 
 
 def test_a_number_tells_what_the_bucket_holds() -> None:
@@ -190,7 +192,7 @@
 
 
 def test_the_periods_of_many_customers_do_not_end_together() -> None:
-    offsets = [SharedBucket.of(f"c{i}", 1.0, 1.0).offset for i in range(300)]
+    offsets = [SharedTokenBucket.of(f"c{i}", 1.0, 1.0).offset for i in range(300)]
     ends = [int(offset // 1000) for offset in offsets]
     assert max(ends.count(second) for second in ends) < 45  # 20 on average
 
@@ -199,7 +201,7 @@
 def test_idle_time_is_taken_off_the_number_once(also: bool) -> None:
     """Danger: two gateways that put it right at once leave a calm customer in debt."""
     caller = Caller("calm", LARGE, 0.2, list(range(30)))
-    fleet = Fleet(GATEWAYS, [caller], seed=3, max_retry_after=1000.0)
+    fleet = Fleet(GATEWAYS, [caller], seed=3, max_retry_after_ms=1000.0)
     fleet.ask(caller, 1)
     fleet.play(0.1)
     fleet.now += 6_000  # six seconds fill no further a bucket that was full
@@ -207,7 +209,7 @@
     if also:
         fleet.ask(caller, 1)
     fleet.play(0.1)
-    bucket = SharedBucket.of("calm", LARGE.rate, LARGE.burst)
+    bucket = SharedTokenBucket.of("calm", LARGE.rate, LARGE.burst)
     period = bucket.period(fleet.now)
     level = bucket.level(fleet.now, period, fleet.numbers[bucket.name(period)])
     assert level == pytest.approx(fleet.stores["calm"].fill(fleet.now), abs=1.0)
--- a/tests/test_leases.py
+++ b/tests/policy/test_leases.py
@@ -1,9 +1,9 @@
 from __future__ import annotations
 
-from helpers import World, counts, refusals, sends
-
-from mintford import interface as api
-from mintford.rules import LEASE_MS, REFRESH_MS
+from gateway.policy.actions import IncrementCounter, StartAttempt
+from gateway.policy.events import CounterResponse, Outcome
+from gateway.policy.policy import LEASE_MS, REFRESH_MS
+from tests.support.policy_harness import World, counts, refusals, sends
 
 
 def drain(world: World, tries: int, gap: float = 0.0, **ask: object) -> int:
@@ -17,8 +17,8 @@
     return sent
 
 
-def answer(world: World, call: api.Count, reading: float, outcome: api.Outcome = api.Outcome.OK) -> None:
-    world.give(api.CounterReplied(call.name, outcome, reading))
+def answer(world: World, call: IncrementCounter, reading: float, outcome: Outcome = Outcome.OK) -> None:
+    world.give(CounterResponse(call.name, outcome, reading))
 
 
 def test_a_new_customer_holds_its_even_part_of_the_burst() -> None:
@@ -29,18 +29,18 @@
     world = World()
     drain(world, 4)
     (refusal,) = refusals(world.ask())
-    assert 0 < refusal.retry_after <= 500
+    assert 0 < refusal.retry_after_ms <= 500
 
 
 def test_the_bucket_fills_at_the_even_share() -> None:
-    world = World(may_count=False)
+    world = World(counter_available=False)
     drain(world, 10)
     assert drain(world, 100, gap=100) in (9, 10, 11)  # one a second for ten seconds
 
 
 def test_a_refresh_adds_all_that_was_asked_refused_requests_too() -> None:
     world = World()
-    adds: list[tuple[float, api.Count]] = []
+    adds: list[tuple[float, IncrementCounter]] = []
     for _ in range(100):
         for call in counts(world.ask()):
             answer(world, call, 100.0)
@@ -49,7 +49,7 @@
     waiting = world.gateway.customers["c"].unsaid
     assert sum(call.amount for _, call in adds) + waiting == 100
     assert all(b - a >= REFRESH_MS for (a, _), (b, _) in zip(adds, adds[1:], strict=False))
-    assert all(call.expire_in <= 60_000 for _, call in adds)
+    assert all(call.expires_in_ms <= 60_000 for _, call in adds)
 
 
 def test_the_lease_is_this_gateways_share_of_what_all_asked() -> None:
@@ -83,7 +83,7 @@
     customer.part = 0.9
     for _ in range(int(LEASE_MS // 1000)):
         for call in counts(world.ask()):
-            answer(world, call, 0, api.Outcome.TIMED_OUT)
+            answer(world, call, 0, Outcome.TIMED_OUT)
         assert customer.part == 0.9, "failed refreshes keep the lease until it ends"
         world.pass_time(1000)
     world.pass_time(500)
@@ -116,16 +116,16 @@
 def test_who_adds_first_carries_over_what_the_last_period_left_spent() -> None:
     world = World()
     (call,) = counts(world.ask())
-    world.give(api.CounterReplied(call.name, api.Outcome.OK, call.amount))
+    world.give(CounterResponse(call.name, Outcome.OK, call.amount))
     read = world.log[-1][1]
-    assert isinstance(read, api.Count) and read.amount == 0 and read.name != call.name
-    world.give(api.CounterReplied(read.name, api.Outcome.OK, 11.0))  # burst 8, and 8 paid back in the period
+    assert isinstance(read, IncrementCounter) and read.amount == 0 and read.name != call.name
+    world.give(CounterResponse(read.name, Outcome.OK, 11.0))  # burst 8, and 8 paid back in the period
     owed = world.log[-1][1]
-    assert isinstance(owed, api.Count) and owed.amount == 3 and owed.name == call.name
+    assert isinstance(owed, IncrementCounter) and owed.amount == 3 and owed.name == call.name
 
 
 def test_what_a_time_out_may_have_added_is_not_added_again_and_what_was_turned_away_is() -> None:
-    for outcome, again in ((api.Outcome.TIMED_OUT, 1.0), (api.Outcome.FULL, 2.0)):
+    for outcome, again in ((Outcome.TIMED_OUT, 1.0), (Outcome.QUEUE_FULL, 2.0)):
         world = World()
         (call,) = counts(world.ask())
         answer(world, call, 0, outcome)
@@ -155,7 +155,7 @@
         actions = world.ask(spread=100)
         (call,) = counts(actions)
         assert not sends(actions) and not refusals(actions)
-        world.give(api.CounterReplied(call.name, api.Outcome.OK, reading))
+        world.give(CounterResponse(call.name, Outcome.OK, reading))
         assert len(sends(a for _, a in world.log)) == sent
         assert len(refusals(a for _, a in world.log)) == 1 - sent
 
@@ -168,7 +168,7 @@
 
 def test_many_gateways_hold_a_flooding_customer_to_its_quota_and_let_a_calm_one_in() -> None:
     """Danger: at hundreds of gateways the even share is under one request each."""
-    worlds = [World(seed=i, gateways=120, index=i) for i in range(120)]
+    worlds = [World(seed=i, gateway_count=120, gateway_index=i) for i in range(120)]
     numbers: dict[str, float] = {}
     sent = {"calm": 0, "flood": 0}
 
@@ -176,10 +176,10 @@
         todo = world.ask(customer=customer, spread=120)
         while todo:
             action = todo.pop(0)
-            if isinstance(action, api.Count):
+            if isinstance(action, IncrementCounter):
                 numbers[action.name] = numbers.get(action.name, 0.0) + action.amount
-                todo += world.give(api.CounterReplied(action.name, api.Outcome.OK, numbers[action.name]))
-            elif isinstance(action, api.Send):
+                todo += world.give(CounterResponse(action.name, Outcome.OK, numbers[action.name]))
+            elif isinstance(action, StartAttempt):
                 sent[customer] += 1
                 todo += world.end(action)
 
@@ -212,7 +212,7 @@
 
 
 def test_no_plan_and_no_rate_means_no_quota() -> None:
-    world = World(plans=(), may_count=False)
+    world = World(plans=(), counter_available=False)
     assert drain(world, 50, gap=10) == 50
 
 
@@ -231,9 +231,9 @@
 
 
 def test_beyond_quota_only_where_it_earns_and_capacity_is_spare() -> None:
-    world = World(may_count=False)
+    world = World(counter_available=False)
     assert drain(world, 30, gap=1, plan="bonus") == 30
-    slow = World(may_count=False)
+    slow = World(counter_available=False)
     for _ in range(60):
         slow.ask(plan="basic", customer=f"x{slow.serial}")
     slow.gateway.rate = 20.0  # sixty out at twenty answers a second: far from spare
@@ -243,7 +243,7 @@
 def test_refreshes_thin_out_while_the_counter_fails_calls_and_come_back() -> None:
     """Danger: a crowded counter fails everybody's calls, and their number keeps it crowded."""
 
-    def calls(world: World, outcome: api.Outcome) -> int:
+    def calls(world: World, outcome: Outcome) -> int:
         seen = 0
         for _ in range(1200):
             for call in counts(world.ask()):
@@ -253,11 +253,11 @@
         return seen
 
     world = World()
-    well, crowded = calls(world, api.Outcome.OK), calls(world, api.Outcome.FULL)
+    well, crowded = calls(world, Outcome.OK), calls(world, Outcome.QUEUE_FULL)
     assert 0 < crowded < well * 0.7
-    calls(world, api.Outcome.OK)
-    calls(world, api.Outcome.OK)
-    assert calls(world, api.Outcome.OK) >= well * 0.8
+    calls(world, Outcome.OK)
+    calls(world, Outcome.OK)
+    assert calls(world, Outcome.OK) >= well * 0.8
 
 
 def crowded(world: World) -> World:
