--- a/tests/test_decisions.py
+++ b/tests/policy/test_policy.py
@@ -5,19 +5,34 @@
 import math
 
 import pytest
-from helpers import BASIC, World, backends, entry, refusals, sends
 
-from mintford import interface as api
-
-WIDE = api.Plan("basic")  # no quota, so that only the back end decides
-OPEN = dict(plans=(WIDE,), may_count=False)
-
-
-def world(*entries: api.BackendEntry, **changes: object) -> World:
+from gateway.policy.actions import Action, CancelAttempt, Fail, Reject, SetTimer, StartAttempt, WatchEndpoints
+from gateway.policy.events import (
+    AttemptEnded,
+    ClientDisconnected,
+    CounterResponse,
+    Endpoint,
+    EndpointState,
+    EndpointUpdate,
+    Outcome,
+    PeerMessage,
+    ResponseStarted,
+    TimerFired,
+    UpdateKind,
+)
+from gateway.policy.settings import DeduplicationScope, Idempotency, Plan, RequestClass
+from gateway.policy.timers import TimerKind, TimerToken
+from tests.support.policy_harness import BASIC, World, backends, entry, refusals, sends
+
+WIDE = Plan("basic")  # no quota, so that only the back end decides
+OPEN = dict(plans=(WIDE,), counter_available=False)
+
+
+def world(*entries: Endpoint, **changes: object) -> World:
     return World(entries, **{**OPEN, **changes})
 
 
-def one(actions: list[api.Action]) -> api.Send:
+def one(actions: list[Action]) -> StartAttempt:
     (send,) = sends(actions)
     return send
 
@@ -28,7 +43,7 @@
         send = one(w.ask())
         w.pass_time(20)
         w.end(send)
-        used.add(send.backend)
+        used.add(send.backend_id)
         w.pass_time(20)
     return used
 
@@ -49,8 +64,8 @@
 
 def test_draining_and_gone_backends_get_nothing_new() -> None:
     w = world()
-    w.give(backends(entry(1, api.BackendState.DRAINING), scope=api.ListScope.CHANGES))
-    w.give(backends(entry(2, api.BackendState.GONE), scope=api.ListScope.CHANGES))
+    w.give(backends(entry(1, EndpointState.DRAINING), scope=UpdateKind.DELTA))
+    w.give(backends(entry(2, EndpointState.REMOVED), scope=UpdateKind.DELTA))
     assert served_by(w, 5) == {3}
 
 
@@ -61,12 +76,16 @@
 
 
 def test_a_failed_list_keeps_the_old_one_and_asks_again_later() -> None:
-    w = world(must_ask_for_list=True)
-    w.give(api.BackendsChanged(api.ListScope.FAILED, ()))
+    w = world(polls_endpoints=True)
+    w.give(EndpointUpdate(UpdateKind.WATCH_FAILED, ()))
     assert one(w.ask())
-    timers = [a for _, a in w.log if isinstance(a, api.SetTimer) and a.token == "follow"]
+    timers = [
+        a for _, a in w.log if isinstance(a, SetTimer) and a.token == TimerToken(TimerKind.WATCH_ENDPOINTS)
+    ]
     assert timers
-    assert any(isinstance(a, api.FollowList) for a in w.give(api.TimerFired("follow")))
+    assert any(
+        isinstance(a, WatchEndpoints) for a in w.give(TimerFired(TimerToken(TimerKind.WATCH_ENDPOINTS)))
+    )
 
 
 def test_failing_backend_is_avoided_and_later_retested() -> None:
@@ -78,10 +97,12 @@
         for _ in range(60):
             send = one(w.ask())
             while True:
-                hits += send.backend == bad
+                hits += send.backend_id == bad
                 w.pass_time(20)
-                outcome = api.Outcome.FAILED if send.backend == bad else api.Outcome.OK
-                again = sends(w.end(send, outcome, attempt=0 if send.backend == bad else w_attempt(w, send)))
+                outcome = Outcome.FAILED if send.backend_id == bad else Outcome.OK
+                again = sends(
+                    w.end(send, outcome, attempt=0 if send.backend_id == bad else w_attempt(w, send))
+                )
                 if not again:
                     break
                 send = again[0]
@@ -91,8 +112,8 @@
     assert bad in served_by(w, 40)
 
 
-def w_attempt(w: World, send: api.Send) -> int:
-    return sum(1 for _, a in w.log if isinstance(a, api.Send) and a.request == send.request) - 1
+def w_attempt(w: World, send: StartAttempt) -> int:
+    return sum(1 for _, a in w.log if isinstance(a, StartAttempt) and a.request_id == send.request_id) - 1
 
 
 def test_silent_backend_is_left_while_its_peers_answer() -> None:
@@ -102,7 +123,7 @@
     for _ in range(150):
         send = one(w.ask("wipe", life=60_000))
         w.pass_time(50)
-        if send.backend == 1:
+        if send.backend_id == 1:
             hung += 1
         else:
             w.end(send)
@@ -128,7 +149,7 @@
 
 def test_a_gateway_without_answers_lets_requests_through() -> None:
     """Danger: in a large fleet the floor fell under one request: no request, no answer, for ever."""
-    w = world(gateways=1000)
+    w = world(gateway_count=1000)
     assert len(sends(w.ask()) + sends(w.ask())) == 2
 
 
@@ -136,57 +157,57 @@
     w = world()
     for name in ("view", "order", "wipe"):
         first = one(w.ask(name))
-        again = one(w.end(first, api.Outcome.CONNECT))
-        assert again.backend != first.backend
+        again = one(w.end(first, Outcome.CONNECT_ERROR))
+        assert again.backend_id != first.backend_id
 
 
 def test_unsafe_that_may_have_run_is_never_sent_again_nor_refused() -> None:
-    for outcome in (api.Outcome.FAILED, api.Outcome.RESET, api.Outcome.TIMED_OUT):
+    for outcome in (Outcome.FAILED, Outcome.CONNECTION_RESET, Outcome.TIMED_OUT):
         w = world()
         send = one(w.ask("wipe"))
-        assert w.end(send, outcome) == [api.Fail(send.request)]
+        assert w.end(send, outcome) == [Fail(send.request_id)]
 
 
 def test_keyed_goes_again_only_inside_its_group_and_window() -> None:
     w = world(entry(1, cell=0), entry(2, cell=1), entry(3, cell=0))
     first = one(w.ask("order"))
-    same_cell = {1: {3}, 3: {1}, 2: set()}[first.backend]
-    assert {s.backend for s in sends(w.end(first, api.Outcome.FAILED))} == same_cell
+    same_cell = {1: {3}, 3: {1}, 2: set()}[first.backend_id]
+    assert {s.backend_id for s in sends(w.end(first, Outcome.FAILED))} == same_cell
     lone = world(entry(1, cell=0), entry(2, cell=1))
     first = one(lone.ask("order"))
-    assert lone.end(first, api.Outcome.FAILED) == [api.Fail(first.request)]
+    assert lone.end(first, Outcome.FAILED) == [Fail(first.request_id)]
     late = world(entry(1, cell=0), entry(3, cell=0))
-    late.gateway.classes["order"] = api.RequestClass(
-        "order", 5000, 9000, 1, api.Effect.KEYED, api.Group.CELL, 2000
+    late.gateway.request_classes["order"] = RequestClass(
+        "order", 5000, 9000, 1, Idempotency.WITH_KEY, DeduplicationScope.CELL, 2000
     )
     first = one(late.ask("order", life=9000))
     late.now += 1990
-    assert late.end(first, api.Outcome.FAILED) == [api.Fail(first.request)]
+    assert late.end(first, Outcome.FAILED) == [Fail(first.request_id)]
 
 
 def test_a_keyed_repeat_says_until_when_it_may_begin() -> None:
     """Danger: its connection may come up only after the group has forgotten the first one."""
     w = world(entry(1, cell=0), entry(3, cell=0))
     first = one(w.ask("order"))
-    assert first.latest == math.inf
+    assert first.start_before == math.inf
     begun = w.now
     w.now += 300
-    again = one(w.end(first, api.Outcome.RESET))
-    assert begun + 1_900 < again.latest < begun + 2_000
+    again = one(w.end(first, Outcome.CONNECTION_RESET))
+    assert begun + 1_900 < again.start_before < begun + 2_000
     safe = one(w.ask("view"))
-    assert safe.latest == one(w.end(safe, api.Outcome.RESET)).latest == math.inf
+    assert safe.start_before == one(w.end(safe, Outcome.CONNECTION_RESET)).start_before == math.inf
 
 
 @pytest.mark.parametrize(("most", "wait"), [(500.0, 400.0), (100.0, 100.0), (0.0, 0.0)])
 def test_what_is_given_up_is_refused_at_once_with_a_retry_after(most: float, wait: float) -> None:
-    w = world(max_retry_after=most)
+    w = world(max_retry_after_ms=most)
     send, attempt = one(w.ask()), 0
-    while batch := sends(ended := w.end(send, api.Outcome.CONNECT, attempt)):
+    while batch := sends(ended := w.end(send, Outcome.CONNECT_ERROR, attempt)):
         send, attempt = batch[0], attempt + 1
-    assert refusals(ended) == [api.Refuse(send.request, wait)] and w.now == 10_000
-    spent = world(max_retry_after=most)
+    assert refusals(ended) == [Reject(send.request_id, wait)] and w.now == 10_000
+    spent = world(max_retry_after_ms=most)
     spent.gateway.retries = 0.0
-    assert refusals(spent.end(one(spent.ask()), api.Outcome.RESET)) == [api.Refuse("r1", wait)]
+    assert refusals(spent.end(one(spent.ask()), Outcome.CONNECTION_RESET)) == [Reject("r1", wait)]
 
 
 def test_extra_attempts_stop_when_the_budget_is_spent() -> None:
@@ -198,7 +219,7 @@
         attempt = 0
         while batch:
             sent += 1
-            batch = sends(w.end(batch[0], api.Outcome.FAILED, attempt))
+            batch = sends(w.end(batch[0], Outcome.FAILED, attempt))
             attempt += 1
         w.pass_time(50)
     assert sent <= asked * 1.6 + 10
@@ -208,9 +229,9 @@
     w = world()
     send = one(w.ask("wipe", life=3000))
     w.pass_time(2960)
-    ends = [(t, a) for t, a in w.log if isinstance(a, api.Fail) and a.request == send.request]
+    ends = [(t, a) for t, a in w.log if isinstance(a, Fail) and a.request_id == send.request_id]
     assert len(ends) == 1 and ends[0][0] <= 13_000
-    assert w.end(send, api.Outcome.TIMED_OUT) == []
+    assert w.end(send, Outcome.TIMED_OUT) == []
 
 
 def test_an_attempt_out_far_longer_than_usual_is_moved_once() -> None:
@@ -218,10 +239,12 @@
     w = world()
     warm_up(w, lag=50)
     first = one(w.ask(life=60_000))
-    assert not [a for a in w.pass_time(430) if isinstance(a, api.Cancel)]
-    assert [a for a in w.pass_time(60) if isinstance(a, api.Cancel)] == [api.Cancel(first.request, 0)]
-    again = one(w.end(first, api.Outcome.CANCELLED))
-    assert again.backend != first.backend
+    assert not [a for a in w.pass_time(430) if isinstance(a, CancelAttempt)]
+    assert [a for a in w.pass_time(60) if isinstance(a, CancelAttempt)] == [
+        CancelAttempt(first.request_id, 0)
+    ]
+    again = one(w.end(first, Outcome.CANCELLED))
+    assert again.backend_id != first.backend_id
 
 
 @pytest.mark.parametrize("name", ["view", "order"])
@@ -229,12 +252,12 @@
     """Danger: its answer may be on its way, and the request would be given up for nothing."""
     for lone in (
         world(entry(1)),
-        world(entry(1), entry(2, api.BackendState.DRAINING)),
+        world(entry(1), entry(2, EndpointState.DRAINING)),
         world(entry(1), entry(2), max_attempts=1),
     ):
         warm_up(lone, lag=50)
         one(lone.ask(name))
-        assert not [a for a in lone.pass_time(900) if isinstance(a, api.Cancel | api.Refuse | api.Fail)]
+        assert not [a for a in lone.pass_time(900) if isinstance(a, CancelAttempt | Reject | Fail)]
 
 
 def test_one_class_unanswered_at_a_backend_is_told_from_the_others() -> None:
@@ -245,9 +268,9 @@
         name = "order" if i % 2 else "view"
         send = one(w.ask(name))
         w.pass_time(20)
-        bad = send.backend == 1 and name == "order"
-        w.end(send, api.Outcome.FAILED if bad else api.Outcome.OK)
-        hits[name] += send.backend == 1 and i > 100
+        bad = send.backend_id == 1 and name == "order"
+        w.end(send, Outcome.FAILED if bad else Outcome.OK)
+        hits[name] += send.backend_id == 1 and i > 100
     assert hits["order"] <= 8 and hits["view"] >= 25
 
 
@@ -255,7 +278,7 @@
     """Danger: met once a minute each, no backend can be judged."""
     fleet, met = [entry(i) for i in range(70)], dict.fromkeys(range(70), 0)
     for index in range(300):
-        w = World(fleet, **{**OPEN, "gateways": 300, "index": index})
+        w = World(fleet, **{**OPEN, "gateway_count": 300, "gateway_index": index})
         assert 8 <= len(w.gateway.subset) <= 16
         for b in w.gateway.subset:
             met[b.id] += 1
@@ -265,20 +288,20 @@
 def test_forty_gateways_meet_few_backends_each_and_keep_them_when_others_change() -> None:
     """Danger: sixty backends met once in ten seconds are never judged, and each request pays a handshake."""
     fleet = [entry(i) for i in range(60)]
-    worlds = [World(fleet, **{**OPEN, "gateways": 40, "index": index}) for index in range(40)]
+    worlds = [World(fleet, **{**OPEN, "gateway_count": 40, "gateway_index": index}) for index in range(40)]
     before = [{b.id for b in w.gateway.subset} for w in worlds]
     met = [sum(i in used for used in before) for i in range(60)]
     assert all(len(used) <= 20 for used in before)
     assert min(met) >= 8 and max(met) <= 12
     for w in worlds:
-        w.give(backends(entry(60), entry(61), entry(62), scope=api.ListScope.CHANGES))
+        w.give(backends(entry(60), entry(61), entry(62), scope=UpdateKind.DELTA))
     kept = [len({b.id for b in w.gateway.subset} & used) for w, used in zip(worlds, before, strict=True)]
     assert sum(kept) >= 0.8 * sum(map(len, before))
 
 
 def test_a_gateway_with_few_requests_sheds_by_recent_latency() -> None:
     """Danger: three requests out at each of hundreds of gateways fill the servers for longer than the aim."""
-    w = world(gateways=300)
+    w = world(gateway_count=300)
     for lag in (100, 1500, 100):
         sent = 0
         for i in range(90):
@@ -306,11 +329,14 @@
     """Danger: many gateways, each with a little for a cold backend, push it over together."""
     hits = 0
     for index in range(200):
-        w = World([entry(i, started=9_990 if i == 5 else 0) for i in range(20)], seed=index,
-                  **{**OPEN, "gateways": 200, "index": index})
+        w = World(
+            [entry(i, started=9_990 if i == 5 else 0) for i in range(20)],
+            seed=index,
+            **{**OPEN, "gateway_count": 200, "gateway_index": index},
+        )
         for _ in range(10):
             send = one(w.ask())
-            hits += send.backend == 5
+            hits += send.backend_id == 5
             w.end(send)
     assert hits <= 0.2 * 2000 / 20
 
@@ -319,13 +345,13 @@
     for spread in (0, 1, 5000):
         for rate in (0.01, 10_000.0):
             for gateways in (1, 1000):
-                plan = api.Plan("basic", rate=rate, burst=rate)
-                w = World([entry(1)], plans=(plan,), gateways=gateways, index=gateways - 1)
+                plan = Plan("basic", rate=rate, burst=rate)
+                w = World([entry(1)], plans=(plan,), gateway_count=gateways, gateway_index=gateways - 1)
                 for life in (0, 3000):
                     w.ask(spread=spread, life=life)
                     w.pass_time(4000)
                 assert not w.gateway.requests
-    none = World(gateways=1000)
+    none = World(gateway_count=1000)
     none.give(backends())
     none.ask(spread=1, life=1000)
     none.pass_time(2000)
@@ -334,35 +360,35 @@
 
 def test_odd_events_are_survived() -> None:
     w = world()
-    w.give(api.AttemptEnded("nobody", 0, 9, api.Outcome.OK, 1, True))
-    w.give(api.RequestLapsed("nobody"))
-    w.give(api.TimerFired("unwanted"))
-    w.give(api.CounterReplied("nothing", api.Outcome.OK, 1))
-    w.give(api.PeerSpoke(1, b"\xff\x00"))
-    w.give(api.AnswerBegan("nobody", 0, 1))
+    w.give(AttemptEnded("nobody", 0, 9, Outcome.OK, 1, True))
+    w.give(ClientDisconnected("nobody"))
+    w.give(TimerFired(TimerToken(TimerKind.REQUEST, "unwanted")))
+    w.give(CounterResponse("nothing", Outcome.OK, 1))
+    w.give(PeerMessage(1, b"\xff\x00"))
+    w.give(ResponseStarted("nobody", 0, 1))
     send = one(w.ask("no such class", "no such plan"))
-    w.give(api.RequestLapsed(send.request))
-    assert w.end(send, api.Outcome.TIMED_OUT) == []
-    w.end(send, api.Outcome.TIMED_OUT)
+    w.give(ClientDisconnected(send.request_id))
+    assert w.end(send, Outcome.TIMED_OUT) == []
+    w.end(send, Outcome.TIMED_OUT)
 
 
 def test_a_cold_backend_gets_little_until_it_is_warm() -> None:
     """Danger: a cold backend sent a warm one's load by every gateway falls over and stays down."""
     w = world(entry(1), entry(2), entry(3))
     warm_up(w, 400)
-    w.give(backends(entry(9, started=w.now - 100), scope=api.ListScope.CHANGES))
+    w.give(backends(entry(9, started=w.now - 100), scope=UpdateKind.DELTA))
     early = [one(w.ask()) for _ in range(1)]
     w.end(early[0])
     mark = w.now
     warm_up(w, 50)
-    counts = [a.backend for t, a in w.log if t >= mark and isinstance(a, api.Send)]
+    counts = [a.backend_id for t, a in w.log if t >= mark and isinstance(a, StartAttempt)]
     assert counts.count(9) <= 0.25 * 0.5 * len(counts)
     w.pass_time(11_000)
     assert 9 in served_by(w, 40)
 
 
 def test_the_plan_is_met_by_its_settings_not_its_name() -> None:
-    renamed = api.Plan("zzz", BASIC.rate, BASIC.burst)
+    renamed = Plan("zzz", BASIC.rate, BASIC.burst)
     a = World(plans=(BASIC,))
     b = World(plans=(renamed,))
     for _ in range(30):
@@ -374,25 +400,28 @@
 @pytest.mark.parametrize("duplicate", [True, False])
 def test_no_further_attempt_is_made_for_a_client_that_has_left(duplicate: bool) -> None:
     """Neither a second copy once the first attempt is out for long, nor the next one once that has failed."""
-    w = world(entry(1), entry(2), entry(3), may_duplicate=duplicate)
+    w = world(entry(1), entry(2), entry(3), hedging_allowed=duplicate)
     stays, leaves = one(w.ask()), one(w.ask())
-    w.give(api.RequestLapsed(leaves.request))
+    w.give(ClientDisconnected(leaves.request_id))
     actions = w.pass_time(900)
-    assert [send.request for send in sends(actions)] == [stays.request] * duplicate
-    ends = w.end(stays, api.Outcome.FAILED) if not duplicate else []
-    actions = [*ends, *w.end(leaves, api.Outcome.FAILED), *w.pass_time(3_000)]
-    assert all(send.request == stays.request for send in sends(actions))
+    assert [send.request_id for send in sends(actions)] == [stays.request_id] * duplicate
+    ends = w.end(stays, Outcome.FAILED) if not duplicate else []
+    actions = [*ends, *w.end(leaves, Outcome.FAILED), *w.pass_time(3_000)]
+    assert all(send.request_id == stays.request_id for send in sends(actions))
     assert duplicate or len(sends(ends)) == 1
 
 
-def further_attempts(entries: list[api.BackendEntry]) -> list[int]:
+def further_attempts(entries: list[Endpoint]) -> list[int]:
     """Where the second attempts go of requests whose first one may have run."""
     went = []
     for seed in range(40):
-        w = World(entries, seed=seed, plans=(api.Plan("free"),))
+        w = World(entries, seed=seed, plans=(Plan("free"),))
         for number in range(5):
             for first in sends(w.ask(plan="free", customer=f"c{number}")):
-                went += [again.backend for again in sends(w.end(first, api.Outcome.RESET, finished=False))]
+                went += [
+                    again.backend_id
+                    for again in sends(w.end(first, Outcome.CONNECTION_RESET, finished=False))
+                ]
             w.pass_time(100)
     return went
 
--- a/tests/test_limits.py
+++ b/tests/policy/test_policy_size.py
@@ -4,7 +4,7 @@
 import tomllib
 from pathlib import Path
 
-ROOT = Path(__file__).parents[1]
+ROOT = Path(__file__).parents[2]
 
 
 def test_the_module_stays_short_and_its_lines_narrow() -> None:
@@ -12,11 +12,11 @@
     files = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["policy"]
     lines = [line for name in files for line in (ROOT / name).read_text().splitlines() if line.strip()]
     assert len(lines) <= 1_200
-    assert "mintford/interface.py" in "".join(lines[:3])
+    assert "gateway/policy/events.py" in "".join(lines[:3])
 
 
 def test_no_line_is_over_110_characters() -> None:
-    for path in [*ROOT.glob("mintford/*.py"), *ROOT.glob("tests/*.py")]:
+    for path in [*ROOT.glob("gateway/**/*.py"), *ROOT.glob("tests/**/*.py")]:
         for number, line in enumerate(path.read_text().splitlines(), 1):
             assert len(line) <= 110, f"{path.name}:{number}"
 
--- a/tests/test_rules_hold.py
+++ b/tests/policy/test_safety_rules.py
@@ -7,14 +7,22 @@
 import sys
 from pathlib import Path
 
-from helpers import FIRM, KEYED, SAFE, UNSAFE, World, backends, entry
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from mintford import interface as api
+from gateway.policy.actions import Action, CancelAttempt, Fail, IncrementCounter, Reject, StartAttempt
+from gateway.policy.events import (
+    AttemptEnded,
+    ClientDisconnected,
+    CounterResponse,
+    EndpointState,
+    Outcome,
+    UpdateKind,
+)
+from tests.support.policy_harness import FIRM, KEYED, SAFE, UNSAFE, World, backends, entry
 
-NEVER_RAN = {api.Outcome.FULL, api.Outcome.CONNECT, api.Outcome.IGNORED}
-OUTCOMES = list(api.Outcome)
+NEVER_RAN = {Outcome.QUEUE_FULL, Outcome.CONNECT_ERROR, Outcome.NOT_STARTED}
+OUTCOMES = list(Outcome)
 STEPS = st.lists(
     st.tuples(st.sampled_from("rrrrroootlcx"), st.integers(0, 7), st.integers(0, 400)),
     min_size=20,
@@ -26,60 +34,63 @@
     """Keeps the rules' books from outside while a random history is played."""
 
     def __init__(self, seed: int, may_duplicate: bool, started: bool) -> None:
-        self.world = World([entry(i, cell=i % 2) for i in range(5)], seed=seed, may_duplicate=may_duplicate)
+        self.world = World([entry(i, cell=i % 2) for i in range(5)], seed=seed, hedging_allowed=may_duplicate)
         self.may_duplicate = may_duplicate
         self.asked: dict[str, tuple[str, float]] = {}
         self.final: set[str] = set()
-        self.sent: dict[str, list[tuple[int, float, api.Outcome | None]]] = {}
-        self.calls: list[api.Count] = []
-        self.states = {i: api.BackendState.READY for i in range(5)}
+        self.sent: dict[str, list[tuple[int, float, Outcome | None]]] = {}
+        self.calls: list[IncrementCounter] = []
+        self.states = {i: EndpointState.READY for i in range(5)}
         self.told_at = {i: -1e9 for i in range(5)}
         self.ceiling, self.ceiling_at = 0.0, self.world.now
         if started:
             self.step("t", 0, 400)
 
-    def check(self, actions: list[api.Action]) -> None:
+    def check(self, actions: list[Action]) -> None:
         now = self.world.now
         for action in actions:
-            if isinstance(action, api.Send):
-                name, expires = self.asked[action.request]
-                tries = self.sent.setdefault(action.request, [])
-                assert action.request not in self.final and now <= expires
+            if isinstance(action, StartAttempt):
+                name, expires = self.asked[action.request_id]
+                tries = self.sent.setdefault(action.request_id, [])
+                assert action.request_id not in self.final and now <= expires
                 assert len(tries) < 3
                 assert self.may_duplicate or all(o is not None for _, _, o in tries)
                 ran = [(b, t) for b, t, o in tries if o not in NEVER_RAN]
                 assert name != "wipe" or not ran
                 if name == "order":
-                    assert all(b % 2 == action.backend % 2 and now - t <= KEYED.repeat_window for b, t in ran)
-                ready = self.states[action.backend] is api.BackendState.READY
-                assert ready or now - self.told_at[action.backend] <= 1000
+                    assert all(
+                        b % 2 == action.backend_id % 2 and now - t <= KEYED.deduplication_window_ms
+                        for b, t in ran
+                    )
+                ready = self.states[action.backend_id] is EndpointState.READY
+                assert ready or now - self.told_at[action.backend_id] <= 1000
                 if not tries:
                     self.ceiling = min(20.0, self.ceiling + (now - self.ceiling_at) / 1000 * 10) - 1
                     self.ceiling_at = now
                     assert self.ceiling >= -1e-6, "more than this gateway's part of the ceiling"
-                tries.append((action.backend, now, None))
-            elif isinstance(action, api.Refuse | api.Fail):
-                assert action.request not in self.final
-                name, expires = self.asked[action.request]
+                tries.append((action.backend_id, now, None))
+            elif isinstance(action, Reject | Fail):
+                assert action.request_id not in self.final
+                name, expires = self.asked[action.request_id]
                 assert now <= expires + 8
-                ran = [b for b, _, o in self.sent.get(action.request, []) if o not in NEVER_RAN]
-                assert isinstance(action, api.Fail) or name == "view" or not ran
-                self.final.add(action.request)
-            elif isinstance(action, api.Cancel):
-                assert action.attempt < len(self.sent[action.request])
-            elif isinstance(action, api.Count):
+                ran = [b for b, _, o in self.sent.get(action.request_id, []) if o not in NEVER_RAN]
+                assert isinstance(action, Fail) or name == "view" or not ran
+                self.final.add(action.request_id)
+            elif isinstance(action, CancelAttempt):
+                assert action.attempt_number < len(self.sent[action.request_id])
+            elif isinstance(action, IncrementCounter):
                 self.calls.append(action)
 
     def out(self) -> list[tuple[str, int]]:
         return [(r, i) for r, tries in self.sent.items() for i, t in enumerate(tries) if t[2] is None]
 
-    def end(self, request: str, attempt: int, outcome: api.Outcome) -> None:
+    def end(self, request: str, attempt: int, outcome: Outcome) -> None:
         backend, sent_at, _ = self.sent[request][attempt]
         self.sent[request][attempt] = (backend, sent_at, outcome)
-        if outcome is api.Outcome.OK:
+        if outcome is Outcome.OK:
             self.final.add(request)
         finished = request in self.final
-        self.check(self.world.give(api.AttemptEnded(request, attempt, backend, outcome, 1, finished)))
+        self.check(self.world.give(AttemptEnded(request, attempt, backend, outcome, 1, finished)))
 
     def step(self, what: str, which: int, amount: int) -> None:
         world = self.world
@@ -92,28 +103,28 @@
         elif what == "t":
             self.pass_time(amount)
         elif what == "l":
-            state = (api.BackendState.READY, api.BackendState.DRAINING, api.BackendState.GONE)[which % 3]
+            state = (EndpointState.READY, EndpointState.DRAINING, EndpointState.REMOVED)[which % 3]
             backend = amount % 5
-            if self.states[backend] is api.BackendState.READY:
+            if self.states[backend] is EndpointState.READY:
                 self.told_at[backend] = world.now
             self.states[backend] = state
             started = world.now - 100 if which > 4 else 0.0
             self.check(
-                world.give(backends(entry(backend, state, started, backend % 2), scope=api.ListScope.CHANGES))
+                world.give(backends(entry(backend, state, started, backend % 2), scope=UpdateKind.DELTA))
             )
         elif what == "c" and self.calls:
             call = self.calls.pop(0)
-            self.check(world.give(api.CounterReplied(call.name, OUTCOMES[which], amount / 10)))
+            self.check(world.give(CounterResponse(call.name, OUTCOMES[which], amount / 10)))
         elif what == "x" and (left := [r for r in self.sent if r not in self.final]):
             self.final.add(left[amount % len(left)])
-            self.check(world.give(api.RequestLapsed(left[amount % len(left)])))
+            self.check(world.give(ClientDisconnected(left[amount % len(left)])))
 
     def pass_time(self, amount: float) -> None:
         for _ in range(int(amount // 50) + 1):
             self.check(self.world.pass_time(50))
             for request, attempt in self.out():
                 if self.world.now >= self.asked[request][1]:
-                    self.end(request, attempt, api.Outcome.TIMED_OUT)
+                    self.end(request, attempt, Outcome.TIMED_OUT)
 
 
 @settings(max_examples=150)
@@ -129,26 +140,27 @@
     assert not referee.world.gateway.requests
 
 
-def history(seed: int) -> list[tuple[float, api.Action]]:
+def history(seed: int) -> list[tuple[float, Action]]:
     world = World(seed=seed)
     for i in range(400):
         for action in world.ask(("view", "order", "wipe")[i % 3], ("basic", "firm")[i % 2], f"c{i % 17}"):
-            if isinstance(action, api.Send) and i % 5:
+            if isinstance(action, StartAttempt) and i % 5:
                 world.end(action, OUTCOMES[i % 4])
-            elif isinstance(action, api.Count):
-                world.give(api.CounterReplied(action.name, OUTCOMES[i % 2 * 3], i / 100))
+            elif isinstance(action, IncrementCounter):
+                world.give(CounterResponse(action.name, OUTCOMES[i % 2 * 3], i / 100))
         world.pass_time(60)
     return world.log
 
 
 def test_the_same_events_give_the_same_actions_under_other_hash_seeds() -> None:
-    here = Path(__file__).parent
+    root = Path(__file__).parents[2]
     code = (
-        "import test_rules_hold as t, hashlib; print(hashlib.sha256(repr(t.history(7)).encode()).hexdigest())"
+        "import hashlib, tests.policy.test_safety_rules as t; "
+        "print(hashlib.sha256(repr(t.history(7)).encode()).hexdigest())"
     )
     digests = set()
     for hash_seed in ("1", "2", "77"):
-        path = os.pathsep.join([str(here), str(here.parent)])
+        path = str(root)
         env = {**os.environ, "PYTHONHASHSEED": hash_seed, "PYTHONPATH": path}
         run = subprocess.run(
             [sys.executable, "-c", code], env=env, capture_output=True, text=True, check=True
--- a/tests/test_cold_backends.py
+++ b/tests/policy/test_slow_start.py
@@ -14,12 +14,16 @@
 from dataclasses import dataclass
 
 import pytest
-from fleet import Caller, Fleet
 
-from mintford import interface as api
+from gateway.policy.actions import Action, CancelAttempt
+from gateway.policy.events import AttemptEnded, Endpoint, EndpointState, EndpointUpdate, Outcome, UpdateKind
+from gateway.policy.settings import Idempotency, Plan, RequestClass, SafetyRules
+from tests.support.fleet import Caller, Fleet
 
-FREE = api.Plan("free")
-VIEW = api.RequestClass("view", aim=1000, deadline=3000, importance=1, effect=api.Effect.SAFE)
+FREE = Plan("free")
+VIEW = RequestClass(
+    "view", latency_objective_ms=1000, deadline_ms=3000, priority_weight=1, idempotency=Idempotency.IDEMPOTENT
+)
 SLOTS, LINE = 2, 40  # requests that a backend works on at once, and that wait; more are turned away
 WIRE_MS, FAIL_MS = 2.0, 5.0  # there and back; until a bad backend has failed
 LONG = 3.0  # requests of mean work: what counts as long
@@ -43,17 +47,19 @@
     capacity: float = 11.0  # requests of mean work a second that a warm backend does: N is 8 at a start
     load: float = 0.85  # of what all backends do once they are warm
     burst: float = 1.5  # times the load, in every third second
-    start_capacity: float = 0.18
-    warm_within: float = 5_000.0
-    fall_multiple: float = 4.0
+    initial_capacity: float = 0.18
+    slow_start_ms: float = 5_000.0
+    overload_multiple: float = 4.0
     fall: float = 1_000.0
 
     def warmth(self, age: float) -> float:
-        return min(1.0, self.start_capacity + (1 - self.start_capacity) * max(0.0, age) / self.warm_within)
+        return min(
+            1.0, self.initial_capacity + (1 - self.initial_capacity) * max(0.0, age) / self.slow_start_ms
+        )
 
     def budget(self, age: float) -> float:
         """What a window that begins at an age may bring, with what is put down to chance."""
-        allowed = self.fall_multiple * self.warmth(age) * self.capacity * self.fall / 1000
+        allowed = self.overload_multiple * self.warmth(age) * self.capacity * self.fall / 1000
         return allowed + 2 * math.sqrt(allowed) + 2
 
 
@@ -71,7 +77,7 @@
 
 
 class ColdFleet(Fleet):
-    """Backends that work off a line, fail or hang; each request's work is the same in all its attempts.
+    """BackendPool that work off a line, fail or hang; each request's work is the same in all its attempts.
 
     Attempts that are called off end so, and a second copy runs beside the first.
     """
@@ -98,22 +104,22 @@
             backends=[self.entry(number, 0.0) for number in range(day.backends)],
             retries=2,
             retry_ms=60.0,
-            rules=api.SafetyRules(500.0, day.start_capacity, day.warm_within, day.fall_multiple),
-            classes=(VIEW,),
-            may_count=False,
-            may_duplicate=True,
-            max_retry_after=60.0,
+            safety_rules=SafetyRules(500.0, day.initial_capacity, day.slow_start_ms, day.overload_multiple),
+            request_classes=(VIEW,),
+            counter_available=False,
+            hedging_allowed=True,
+            max_retry_after_ms=60.0,
         )
 
-    def entry(self, number: int, started: float) -> api.BackendEntry:
-        return api.BackendEntry(number, "a", number // 4, started, api.BackendState.READY)
+    def entry(self, number: int, started: float) -> Endpoint:
+        return Endpoint(number, "a", number // 4, started, EndpointState.READY)
 
     def restart(self) -> None:
         numbers = range(self.day.backends - self.day.cold, self.day.backends)
         for number in numbers:
             self.started[number], self.received[number] = self.now, []
             self.slots[number], self.line[number] = [self.now] * SLOTS, deque()
-        told = api.BackendsChanged(api.ListScope.CHANGES, tuple(self.entry(n, self.now) for n in numbers))
+        told = EndpointUpdate(UpdateKind.DELTA, tuple(self.entry(n, self.now) for n in numbers))
         for index in range(self.day.gateways):
             self.give(index, told)
 
@@ -122,10 +128,10 @@
         self.later(self.chance.expovariate(rate) * 1000, lambda: self.first_try(caller))
         self.ask(caller, 1)
 
-    def act(self, index: int, action: api.Action) -> None:
-        if isinstance(action, api.Cancel):
-            key = action.request, action.attempt
-            return self.later(0.0, lambda: self.over(key, api.Outcome.CANCELLED))
+    def act(self, index: int, action: Action) -> None:
+        if isinstance(action, CancelAttempt):
+            key = action.request_id, action.attempt_number
+            return self.later(0.0, lambda: self.over(key, Outcome.CANCELLED))
         super().act(index, action)
 
     def send(self, index: int, request: str, backend: int) -> None:
@@ -143,28 +149,28 @@
         outcome, lag = self.answer(backend, self.work[request])
         self.later(lag, lambda: self.over(key, outcome))
 
-    def answer(self, backend: int, work: float) -> tuple[api.Outcome, float]:
+    def answer(self, backend: int, work: float) -> tuple[Outcome, float]:
         if backend < self.day.bad:
-            return (api.Outcome.FAILED, FAIL_MS) if backend % 2 else (api.Outcome.TIMED_OUT, VIEW.deadline)
+            return (Outcome.FAILED, FAIL_MS) if backend % 2 else (Outcome.TIMED_OUT, VIEW.deadline_ms)
         line = self.line[backend]
         while line and line[0] <= self.now:
             line.popleft()
         if len(line) >= LINE:
-            return api.Outcome.FULL, WIRE_MS
+            return Outcome.QUEUE_FULL, WIRE_MS
         warmth = self.day.warmth(self.now - self.started[backend]) if backend in self.started else 1.0
         begin = max(self.now, heapq.heappop(self.slots[backend]))
         end = begin + work * SLOTS * 1000 / (self.day.capacity * warmth)
         heapq.heappush(self.slots[backend], end)
         line.append(begin)
-        return api.Outcome.OK, end - self.now + WIRE_MS
+        return Outcome.OK, end - self.now + WIRE_MS
 
-    def over(self, key: tuple[str, int], outcome: api.Outcome) -> None:
+    def over(self, key: tuple[str, int], outcome: Outcome) -> None:
         if key in self.live:
             index, backend, sent_at = self.live.pop(key)
-            if outcome is api.Outcome.OK:
+            if outcome is Outcome.OK:
                 self.ended.add(key[0])
             lag, done = self.now - sent_at, key[0] in self.ended
-            self.give(index, api.AttemptEnded(key[0], key[1], backend, outcome, lag, done))
+            self.give(index, AttemptEnded(key[0], key[1], backend, outcome, lag, done))
 
     def end(self, request: str, wait: float) -> None:
         self.ended.add(request)
@@ -175,7 +181,7 @@
     fleet = ColdFleet(day, seed, draw)
     fleet.play(1)
     fleet.restart()
-    seen = fleet.play(day.warm_within / 1000)
+    seen = fleet.play(day.slow_start_ms / 1000)
     look = Look(copies=seen["copies"], again=seen["again"])
     for received in fleet.received.values():
         window: deque[tuple[float, float]] = deque()
@@ -196,7 +202,9 @@
     pytest.param(Day(20, 14, cold=8, bad=2), 6, id="20"),
     pytest.param(Day(30, 14, cold=8, bad=2), 6, id="30"),
     pytest.param(
-        Day(30, 18, cold=6, bad=2, start_capacity=0.15, fall_multiple=3.0, fall=3_000.0), 4, id="30-others"
+        Day(30, 18, cold=6, bad=2, initial_capacity=0.15, overload_multiple=3.0, fall=3_000.0),
+        4,
+        id="30-others",
     ),
     pytest.param(Day(200, 48, cold=28, bad=4), 3, id="200"),
 ]
@@ -217,6 +225,6 @@
 
 
 def test_the_budget_is_worded_as_the_users_word_it() -> None:
-    day = Day(20, 14, cold=8, bad=0, capacity=20.0, start_capacity=0.2, fall_multiple=4.0)
+    day = Day(20, 14, cold=8, bad=0, capacity=20.0, initial_capacity=0.2, overload_multiple=4.0)
     assert day.budget(-500.0) == day.budget(0.0) == 16 + 2 * 4 + 2
-    assert day.budget(day.warm_within) == pytest.approx(80 + 2 * math.sqrt(80) + 2)
+    assert day.budget(day.slow_start_ms) == pytest.approx(80 + 2 * math.sqrt(80) + 2)
--- a/tests/test_membership.py
+++ b/tests/policy/test_subsetting.py
@@ -9,13 +9,24 @@
 from collections.abc import Iterator
 
 import pytest
-from helpers import KEYED, RULES, SAFE, World, entry, sends, settings
 
-from mintford import interface as api
-from mintford.membership import AT_ONCE, COVER, STEP, SUBSET, Membership, Order
-from mintford.rules import DRAWN, KEPT, Backend, Gateway, Request
+from gateway.policy.actions import SetTimer
+from gateway.policy.events import (
+    AttemptEnded,
+    Endpoint,
+    EndpointState,
+    EndpointUpdate,
+    Outcome,
+    RequestArrived,
+    TimerFired,
+    UpdateKind,
+)
+from gateway.policy.policy import DRAWN, KEPT, Backend, GatewayPolicy, Request
+from gateway.policy.subsetting import AT_ONCE, COVER, STEP, SUBSET, Membership, Order
+from gateway.policy.timers import TimerKind, TimerToken
+from tests.support.policy_harness import KEYED, RULES, SAFE, World, entry, sends, settings
 
-READY, DRAINING, GONE = api.BackendState.READY, api.BackendState.DRAINING, api.BackendState.GONE
+READY, DRAINING, GONE = EndpointState.READY, EndpointState.DRAINING, EndpointState.REMOVED
 
 
 class Plain:
@@ -23,20 +34,20 @@
 
     def __init__(self, index: int, gateways: int) -> None:
         self.index, self.gateways = index, gateways
-        self.listed: dict[int, api.BackendEntry] = {}
+        self.listed: dict[int, Endpoint] = {}
 
-    def take(self, scope: api.ListScope, entries: list[api.BackendEntry]) -> None:
-        if scope is not api.ListScope.CHANGES:
-            named = {e.backend for e in entries}
+    def take(self, scope: UpdateKind, entries: list[Endpoint]) -> None:
+        if scope is not UpdateKind.DELTA:
+            named = {e.backend_id for e in entries}
             self.listed = {i: e for i, e in self.listed.items() if i in named}
         for e in entries:
             if e.state is GONE:
-                self.listed.pop(e.backend, None)
+                self.listed.pop(e.backend_id, None)
             else:
-                self.listed[e.backend] = e
+                self.listed[e.backend_id] = e
 
     def slice(self) -> list[int]:
-        ready = [e.backend for e in self.listed.values() if e.state is READY]
+        ready = [e.backend_id for e in self.listed.values() if e.state is READY]
         size = max(SUBSET, COVER * len(ready) / max(1, self.gateways))
         places = 2 ** max(0, math.floor(math.log2(max(1.0, len(ready) / size))))
         turn, place = divmod(self.index, places)
@@ -46,15 +57,15 @@
 
 
 def members(index: int = 0, gateways: int = 1, by_cell: bool = False) -> Membership[int]:
-    return Membership(index, gateways, lambda e: e.backend, by_cell)
+    return Membership(index, gateways, lambda e: e.backend_id, by_cell)
 
 
-def tell(m: Membership[int], scope: api.ListScope, entries: list[api.BackendEntry], parts: int = 1) -> None:
+def tell(m: Membership[int], scope: UpdateKind, entries: list[Endpoint], parts: int = 1) -> None:
     size = max(1, math.ceil(len(entries) / parts))
     cuts = range(0, max(1, len(entries)), size)
     for at in cuts:
         first, last = at == 0, at == cuts[-1]
-        m.take(api.BackendsChanged(scope, tuple(entries[at : at + size]), first, last))
+        m.take(EndpointUpdate(scope, tuple(entries[at : at + size]), first, last))
 
 
 def whole(m: Membership[int]) -> None:
@@ -62,13 +73,13 @@
         m.step()
 
 
-def some(ids: range, cells: int = 5) -> list[api.BackendEntry]:
+def some(ids: range, cells: int = 5) -> list[Endpoint]:
     return [entry(i, cell=i % cells) for i in ids]
 
 
-def history(chance: random.Random, most: int) -> Iterator[tuple[api.ListScope, list[api.BackendEntry], int]]:
+def history(chance: random.Random, most: int) -> Iterator[tuple[UpdateKind, list[Endpoint], int]]:
     """Changes, restarts, drains, removals, bursts and whole lists, some of them in parts."""
-    listed: dict[int, api.BackendEntry] = {}
+    listed: dict[int, Endpoint] = {}
     for _ in range(60):
         kind = chance.random()
         if kind < 0.2 or not listed:
@@ -76,21 +87,21 @@
             new = [entry(chance.randrange(10**6), cell=chance.randrange(9)) for _ in range(most // 8)]
             told = [*kept, *new]
             chance.shuffle(told)
-            told = list({e.backend: e for e in told}.values())
+            told = list({e.backend_id: e for e in told}.values())
             listed = {}
-            scope, parts = chance.choice((api.ListScope.FULL, api.ListScope.SAVED)), chance.randint(1, 9)
+            scope, parts = chance.choice((UpdateKind.SNAPSHOT, UpdateKind.CACHED)), chance.randint(1, 9)
         else:
-            told, scope, parts = [], api.ListScope.CHANGES, 1
+            told, scope, parts = [], UpdateKind.DELTA, 1
             for _ in range(chance.choice((1, 1, 2, most // 3))):
                 old = chance.choice(list(listed.values()))
                 state = chance.choice((READY, DRAINING, GONE, READY))
                 fresh = entry(chance.randrange(10**6), cell=chance.randrange(9))
-                moved = api.BackendEntry(old.backend, old.zone, old.cell, chance.random() * 1e6, state)
+                moved = Endpoint(old.backend_id, old.zone, old.cell, chance.random() * 1e6, state)
                 told.append(fresh if len(listed) < most and chance.random() < 0.5 else moved)
         for e in told:
-            listed[e.backend] = e
+            listed[e.backend_id] = e
             if e.state is GONE:
-                del listed[e.backend]
+                del listed[e.backend_id]
         yield scope, told, parts
 
 
@@ -151,12 +162,12 @@
     """Hashes, comparisons and uses of a change in a list of so many, for a gateway of the target's fleet."""
     used: Tally[str] = Tally()
 
-    def use(e: api.BackendEntry) -> int:
+    def use(e: Endpoint) -> int:
         used["used"] += 1
-        return e.backend
+        return e.backend_id
 
     m, chance = Membership(1_234, 3_700, use), random.Random(count)
-    tell(m, api.ListScope.FULL, some(range(count)), parts=20)
+    tell(m, UpdateKind.SNAPSHOT, some(range(count)), parts=20)
     whole(m)
     assert len(m.slice) == len(m.subset) > 0
     seen.clear()
@@ -165,7 +176,7 @@
     for number in range(changes):
         backend = chance.randrange(count)
         for change in (entry(backend, DRAINING), entry(backend, GONE), entry(count + number)):
-            tell(m, api.ListScope.CHANGES, [change])
+            tell(m, UpdateKind.DELTA, [change])
     assert m.building is None
     return seen["hashed"] / changes, Key.compared / changes, used["used"] / changes
 
@@ -183,8 +194,8 @@
     entries = some(range(20_000))
     for at in range(0, 20_000, 64):
         before = work["hashed"]
-        tell_part = api.BackendsChanged(
-            api.ListScope.FULL, tuple(entries[at : at + 64]), at == 0, at + 64 >= len(entries)
+        tell_part = EndpointUpdate(
+            UpdateKind.SNAPSHOT, tuple(entries[at : at + 64]), at == 0, at + 64 >= len(entries)
         )
         m.take(tell_part)
         assert work["hashed"] == before, "and none of it before all is known"
@@ -197,43 +208,43 @@
         assert work["hashed"] - before <= STEP
     assert work["hashed"] == 20_000 and turns == math.ceil(20_000 / STEP)
     work.clear()
-    tell(m, api.ListScope.FULL, entries[:-3], parts=300)
+    tell(m, UpdateKind.SNAPSHOT, entries[:-3], parts=300)
     assert m.building is None and not work["hashed"], "a list that hardly differs costs by the difference"
     plain = Plain(1_234, 3_700)
-    plain.take(api.ListScope.FULL, entries[:-3])
+    plain.take(UpdateKind.SNAPSHOT, entries[:-3])
     assert m.subset == plain.slice()
 
 
 def test_drains_in_a_part_are_in_force_at_once_and_what_is_new_with_the_last() -> None:
     m = members()
-    tell(m, api.ListScope.FULL, some(range(9)))
+    tell(m, UpdateKind.SNAPSHOT, some(range(9)))
     drained = [entry(i, DRAINING) for i in range(4)]
-    m.take(api.BackendsChanged(api.ListScope.FULL, (*drained, entry(20)), True, False))
+    m.take(EndpointUpdate(UpdateKind.SNAPSHOT, (*drained, entry(20)), True, False))
     assert m.subset == [4, 5, 6, 7, 8]
-    m.take(api.BackendsChanged(api.ListScope.FULL, (entry(4), entry(21)), False, True))
+    m.take(EndpointUpdate(UpdateKind.SNAPSHOT, (entry(4), entry(21)), False, True))
     assert m.subset == [4, 20, 21]
 
 
-@pytest.mark.parametrize("then", [api.ListScope.CHANGES, api.ListScope.FULL])
-def test_of_a_list_that_breaks_off_nothing_new_is_used(then: api.ListScope) -> None:
+@pytest.mark.parametrize("then", [UpdateKind.DELTA, UpdateKind.SNAPSHOT])
+def test_of_a_list_that_breaks_off_nothing_new_is_used(then: UpdateKind) -> None:
     m = members()
-    tell(m, api.ListScope.FULL, some(range(3)))
-    m.take(api.BackendsChanged(api.ListScope.FULL, (entry(0), entry(7)), True, False))
+    tell(m, UpdateKind.SNAPSHOT, some(range(3)))
+    m.take(EndpointUpdate(UpdateKind.SNAPSHOT, (entry(0), entry(7)), True, False))
     tell(m, then, some(range(1, 4)))
-    m.take(api.BackendsChanged(api.ListScope.FULL, (entry(8),), False, True))  # the rest comes too late
-    assert m.subset == ([0, 1, 2, 3] if then is api.ListScope.CHANGES else [1, 2, 3])
+    m.take(EndpointUpdate(UpdateKind.SNAPSHOT, (entry(8),), False, True))  # the rest comes too late
+    assert m.subset == ([0, 1, 2, 3] if then is UpdateKind.DELTA else [1, 2, 3])
 
 
 def test_changes_amid_the_steps_are_in_force() -> None:
     m, plain = members(5, 3_700), Plain(5, 3_700)
     entries = some(range(5_000))
-    tell(m, api.ListScope.FULL, entries, parts=50)
-    plain.take(api.ListScope.FULL, entries)
+    tell(m, UpdateKind.SNAPSHOT, entries, parts=50)
+    plain.take(UpdateKind.SNAPSHOT, entries)
     chance = random.Random(4)
     while m.building is not None:
         changes = [entry(chance.randrange(6_000), chance.choice((READY, DRAINING, GONE))) for _ in range(20)]
-        tell(m, api.ListScope.CHANGES, changes)
-        plain.take(api.ListScope.CHANGES, changes)
+        tell(m, UpdateKind.DELTA, changes)
+        plain.take(UpdateKind.DELTA, changes)
         m.step()
         assert set(m.subset) <= {i for i, e in plain.listed.items() if e.state is READY}
     assert m.subset == plain.slice()
@@ -241,47 +252,51 @@
 
 def test_a_list_replaced_as_a_whole_leaves_none_of_the_old_in_use() -> None:
     m = members(5, 3_700)
-    tell(m, api.ListScope.FULL, some(range(5_000)), parts=9)
+    tell(m, UpdateKind.SNAPSHOT, some(range(5_000)), parts=9)
     whole(m)
     assert m.subset
-    tell(m, api.ListScope.FULL, some(range(5_000, 10_000)), parts=9)
+    tell(m, UpdateKind.SNAPSHOT, some(range(5_000, 10_000)), parts=9)
     assert not m.subset and m.building is not None
-    assert all(e.backend >= 5_000 for e in m.others(random.Random(1)))
+    assert all(e.backend_id >= 5_000 for e in m.others(random.Random(1)))
     whole(m)
     assert m.subset and min(m.subset) >= 5_000
 
 
 def test_beyond_the_slice_of_a_long_list_a_cell_or_some_by_chance_are_found() -> None:
     m = members(5, 3_700, by_cell=True)
-    tell(m, api.ListScope.FULL, some(range(9_000), cells=300))
+    tell(m, UpdateKind.SNAPSHOT, some(range(9_000), cells=300))
     whole(m)
-    found = {e.backend for e in m.others(random.Random(1), ("a", 7))}
+    found = {e.backend_id for e in m.others(random.Random(1), ("a", 7))}
     assert found == set(range(7, 9_000, 300))
-    drawn = [{e.backend for e in m.others(random.Random(seed))} for seed in range(2)]
+    drawn = [{e.backend_id for e in m.others(random.Random(seed))} for seed in range(2)]
     assert all(len(d) == AT_ONCE for d in drawn) and drawn[0] != drawn[1]
 
 
 # ---- in the module ----
 
 
-def large(count: int) -> Gateway:
+def large(count: int) -> GatewayPolicy:
     """A gateway of the target's fleet with so many backends."""
-    rules = settings(index=1_234, gateways=3_700, rules=RULES, classes=(SAFE, KEYED))
-    gateway = Gateway(rules, seed=1)
+    rules = settings(
+        gateway_index=1_234, gateway_count=3_700, safety_rules=RULES, request_classes=(SAFE, KEYED)
+    )
+    gateway = GatewayPolicy(rules, seed=1)
     parts = [some(range(at, min(count, at + 64))) for at in range(0, count, 64)]
     for number, part in enumerate(parts):
-        scope, first, last = api.ListScope.FULL, number == 0, number == len(parts) - 1
-        actions = gateway.handle(1_000.0, api.BackendsChanged(scope, tuple(part), first, last))
-        assert actions == ([api.SetTimer(0.0, "order")] if last and count > AT_ONCE else [])
+        scope, first, last = UpdateKind.SNAPSHOT, number == 0, number == len(parts) - 1
+        actions = gateway.handle(1_000.0, EndpointUpdate(scope, tuple(part), first, last))
+        assert actions == (
+            [SetTimer(0.0, TimerToken(TimerKind.BUILD_ORDER))] if last and count > AT_ONCE else []
+        )
     while actions:
-        actions = gateway.handle(1_000.0, api.TimerFired("order"))
+        actions = gateway.handle(1_000.0, TimerFired(TimerToken(TimerKind.BUILD_ORDER)))
     return gateway
 
 
 def test_the_module_goes_on_with_a_long_order_as_its_timer_fires() -> None:
     gateway = large(5_000)
     plain = Plain(1_234, 3_700)
-    plain.take(api.ListScope.FULL, some(range(5_000)))
+    plain.take(UpdateKind.SNAPSHOT, some(range(5_000)))
     assert [b.id for b in gateway.subset] == plain.slice()
 
 
@@ -290,19 +305,19 @@
     assert len(gateway.backends) == len(gateway.subset) < 100
     for number in range(9_000):
         change = entry(chance.randrange(9_000), chance.choice((READY, DRAINING)))
-        gateway.handle(2_000.0 + number, api.BackendsChanged(api.ListScope.CHANGES, (change,)))
+        gateway.handle(2_000.0 + number, EndpointUpdate(UpdateKind.DELTA, (change,)))
         assert len(gateway.backends) <= len(gateway.subset) + KEPT + 1
     assert all(gateway.backends[b.id] is b for b in gateway.subset)
 
 
 def test_a_keyed_repeat_finds_its_cell_beyond_the_slice() -> None:
     """Few of a cell are in a slice of a long list, or none."""
-    world = World([entry(1)], index=3, gateways=3_700, classes=(SAFE, KEYED))
-    world.give(api.BackendsChanged(api.ListScope.FULL, tuple(some(range(2_000), cells=100))))
+    world = World([entry(1)], gateway_index=3, gateway_count=3_700, request_classes=(SAFE, KEYED))
+    world.give(EndpointUpdate(UpdateKind.SNAPSHOT, tuple(some(range(2_000), cells=100))))
     world.pass_time(10)
     (first,) = sends(world.ask("order"))
-    (again,) = sends(world.end(first, api.Outcome.RESET, finished=False))
-    assert again.backend % 100 == first.backend % 100 and again.backend != first.backend
+    (again,) = sends(world.end(first, Outcome.CONNECTION_RESET, finished=False))
+    assert again.backend_id % 100 == first.backend_id % 100 and again.backend_id != first.backend_id
 
 
 @pytest.mark.parametrize(("count", "scored"), [(200, 12), (15_000, 59), (39_000, DRAWN)])
@@ -311,22 +326,22 @@
 ) -> None:
     """Danger: the slice grows with the list, and each request would weigh all of it."""
     gateway, costs = large(count), []
-    cost = Gateway.cost
+    cost = GatewayPolicy.cost
 
-    def counted(self: Gateway, now: float, b: Backend, request: Request) -> float:
+    def counted(self: GatewayPolicy, now: float, b: Backend, request: Request) -> float:
         costs.append(b.id)
         return cost(self, now, b, request)
 
-    monkeypatch.setattr(Gateway, "cost", counted)
+    monkeypatch.setattr(GatewayPolicy, "cost", counted)
     used, weighed = set(), set()
     for number in range(300):
         costs.clear()
-        asked = api.RequestArrived(f"r{number}", "view", "free", "c", 9_000.0, 1.0, 2, 0)
+        asked = RequestArrived(f"r{number}", "view", "free", "c", 9_000.0, 1.0, 2, 0)
         (sent,) = sends(gateway.handle(2_000.0 + number, asked))
         assert len(costs) == scored
         weighed.update(costs)
-        used.add(sent.backend)
-        ended = api.AttemptEnded(sent.request, 0, sent.backend, api.Outcome.OK, 5.0, True)
+        used.add(sent.backend_id)
+        ended = AttemptEnded(sent.request_id, 0, sent.backend_id, Outcome.OK, 5.0, True)
         gateway.handle(2_001.0 + number, ended)
     assert weighed == {b.id for b in gateway.subset}, "each of the slice has its chances"
     assert len(used) > min(60, 0.8 * len(gateway.subset))
--- a/tests/test_scale.py
+++ b/tests/scale/test_scale.py
@@ -22,7 +22,7 @@
 from scale.report import Goal, Result
 from scale.settings import Customers
 
-ROOT = Path(__file__).parents[1]
+ROOT = Path(__file__).parents[2]
 FLEET = (
     "fleet --hollow 4 --processes 2 --real 1 --backends 40 --seconds 0.5 --bursts 20 --window 0.5"
     " --customers 1000 --spread 3,30 --fleet 100 --rate 50"
@@ -114,9 +114,9 @@
 
 def test_one_run_measures_two_checkouts(tmp_path: Path) -> None:
     other = tmp_path / "other"
-    for part in ("mintford", "roadpulley"):
+    for part in ("gateway",):
         shutil.copytree(ROOT / part, other / part, ignore=shutil.ignore_patterns("__pycache__"))
-    slower = other / "roadpulley" / "driver.py"
+    slower = other / "gateway" / "network" / "dispatcher.py"
     slow = "        for member in members:\n            self.backends.update("
     assert slow in slower.read_text()
     slower.write_text(slower.read_text().replace(slow, "        sum(range(2_000_000))\n" + slow))
@@ -180,10 +180,10 @@
 
 
 def test_a_gateway_that_cannot_start_fails_the_run(tmp_path: Path) -> None:
-    for part in ("mintford", "roadpulley"):
+    for part in ("gateway",):
         (tmp_path / part).mkdir()
         (tmp_path / part / "__init__.py").touch()
-    (tmp_path / "roadpulley" / "__main__.py").write_text("raise SystemExit('not today')")
+    (tmp_path / "gateway" / "__main__.py").write_text("raise SystemExit('not today')")
     with started("quickstart", "--program", str(tmp_path)) as run:
         _, errors = run.finish()
         assert not run.left()
--- a/tests/test_slopes.py
+++ b/tests/scale/test_slopes.py
@@ -8,10 +8,10 @@
 
 import pytest
 
-from mintford import interface as api
+from gateway.policy.settings import Plan
 
 SPEC = importlib.util.spec_from_file_location(
-    "slopes", Path(__file__).parents[1] / "benchmarks" / "slopes.py"
+    "slopes", Path(__file__).parents[2] / "benchmarks" / "slopes.py"
 )
 assert SPEC is not None and SPEC.loader is not None
 slopes = importlib.util.module_from_spec(SPEC)
@@ -21,7 +21,7 @@
 def test_a_customer_spread_thin_costs_a_call_for_each_request_and_more_is_not_sent_on_than_its_quota() -> (
     None
 ):
-    loop = slopes.Loop(30, api.Plan("plan", rate=2.0, burst=4.0, beyond_costs=1.0))
+    loop = slopes.Loop(30, Plan("plan", rate=2.0, burst=4.0, over_quota_cost=1.0))
     loop.customer("0123456789abcdef", 8.0, list(range(30)))
     loop.play(30)
     assert loop.seen["calls"] > loop.seen["asked"] > 150
--- a/tests/test_wirehost.py
+++ b/tests/simulator/test_adapter.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from mintford import wirehost
+from gateway.simulator import adapter
 
 SETUP = {
     "az": "a",
@@ -33,7 +33,7 @@
 
 def play(*lines: str) -> tuple[int, list[dict[str, object]]]:
     out = io.StringIO()
-    code = wirehost.main(io.StringIO("".join(lines)), out)
+    code = adapter.main(io.StringIO("".join(lines)), out)
     return code, [json.loads(line) for line in out.getvalue().splitlines()]
 
 
@@ -97,16 +97,16 @@
     code, replies = play(line)
     said = capsys.readouterr()
     assert code != 0 and replies == []
-    assert said.err.count("\n") == 1 and said.err.startswith("mintford.wirehost: bad input: ")
+    assert said.err.count("\n") == 1 and said.err.startswith("gateway.simulator: bad input: ")
 
 
 def test_the_adapter_runs_as_a_command() -> None:
     run = subprocess.run(
-        [sys.executable, "-m", "mintford.wirehost"],
+        [sys.executable, "-m", "gateway.simulator"],
         input=batch(*CREATE) + "oops\n",
         capture_output=True,
         text=True,
-        cwd=Path(__file__).parents[1],
+        cwd=Path(__file__).parents[2],
     )
     assert run.returncode == 2 and "Traceback" not in run.stderr
     assert len(run.stdout.splitlines()) == 1
--- a/tests/fleet.py
+++ b/tests/support/fleet.py
@@ -12,10 +12,22 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
-from helpers import settings
-
-from mintford import interface as api
-from mintford.rules import Gateway
+from gateway.policy.actions import Action, Fail, IncrementCounter, Reject, SetTimer, StartAttempt
+from gateway.policy.events import (
+    AttemptEnded,
+    CounterResponse,
+    Endpoint,
+    EndpointState,
+    EndpointUpdate,
+    Event,
+    Outcome,
+    RequestArrived,
+    TimerFired,
+    UpdateKind,
+)
+from gateway.policy.policy import GatewayPolicy
+from gateway.policy.settings import Plan
+from tests.support.policy_harness import settings
 
 WIRE_MS = 1.0  # from a gateway to the counter, and back
 
@@ -25,7 +37,7 @@
     """A customer: how often it asks, and through which gateways, the first far more than the last."""
 
     name: str
-    plan: api.Plan
+    plan: Plan
     rate: float  # first tries a second
     gateways: list[int]
     weights: list[float] = field(default_factory=list)
@@ -38,7 +50,7 @@
 class Store:
     """A customer's quota as its contract words it: what is beyond the quota takes nothing."""
 
-    plan: api.Plan
+    plan: Plan
     units: float
     at: float
 
@@ -69,8 +81,8 @@
         retries: int = 0,
         retry_ms: float = 200.0,
         answer_ms: Callable[[random.Random, int], float] = lambda chance, _: chance.expovariate(1 / 300),
-        backends: Iterable[api.BackendEntry] = tuple(
-            api.BackendEntry(i, "a", 0, 0.0, api.BackendState.READY) for i in range(60)
+        backends: Iterable[Endpoint] = tuple(
+            Endpoint(i, "a", 0, 0.0, EndpointState.READY) for i in range(60)
         ),
         **changes: object,
     ) -> None:
@@ -79,7 +91,9 @@
         self.callers = list(callers)
         plans = tuple({c.plan.name: c.plan for c in self.callers}.values())
         self.gateways = [
-            Gateway(settings(plans=plans, gateways=gateways, index=i, **changes), 1000 * seed + i)
+            GatewayPolicy(
+                settings(plans=plans, gateway_count=gateways, gateway_index=i, **changes), 1000 * seed + i
+            )
             for i in range(gateways)
         ]
         self.stores = {c.name: Store(c.plan, c.plan.burst, self.now) for c in self.callers}
@@ -90,7 +104,7 @@
         self.requests: dict[str, tuple[Caller, int, int]] = {}  # caller, tries made, attempts made
         self.seen: Tally[object] = Tally()
         for index in range(gateways):
-            self.give(index, api.BackendsChanged(api.ListScope.FULL, tuple(backends)))
+            self.give(index, EndpointUpdate(UpdateKind.SNAPSHOT, tuple(backends)))
         for caller in self.callers:
             self.later(self.chance.expovariate(caller.rate) * 1000, lambda c=caller: self.first_try(c))
 
@@ -115,27 +129,27 @@
         request, (index,) = f"r{self.serial}", self.chance.choices(caller.gateways, caller.weights)
         self.requests[request] = caller, tries, 0
         self.seen["asked", caller.plan.name] += 1
-        event = api.RequestArrived(
+        event = RequestArrived(
             request, "view", caller.plan.name, caller.name, self.now + 3000, 1.0,
             len(caller.gateways), caller.gateways[0], tries > 1,
         )  # fmt: skip
         self.give(index, event)
 
-    def give(self, index: int, event: api.Event) -> None:
+    def give(self, index: int, event: Event) -> None:
         for action in self.gateways[index].handle(self.now, event):
             self.act(index, action)
 
-    def act(self, index: int, action: api.Action) -> None:
+    def act(self, index: int, action: Action) -> None:
         match action:
-            case api.SetTimer(delay, token):
-                self.later(delay, lambda: self.give(index, api.TimerFired(token)))
-            case api.Count(name, amount, _):
+            case SetTimer(delay, token):
+                self.later(delay, lambda: self.give(index, TimerFired(token)))
+            case IncrementCounter(name, amount, _):
                 self.later(WIRE_MS, lambda: self.count(index, name, amount))
-            case api.Send(request, backend):
+            case StartAttempt(request, backend):
                 self.send(index, request, backend)
-            case api.Refuse(request, wait):
+            case Reject(request, wait):
                 self.end(request, wait)
-            case api.Fail(request):
+            case Fail(request):
                 self.end(request, 0.0)
 
     def count(self, index: int, name: str, amount: float) -> None:
@@ -143,15 +157,15 @@
         waiting = (self.counter_free - self.now) / self.counter_gap
         if waiting > self.counter_queue:
             self.seen["turned away"] += 1
-            busy = api.CounterReplied(name, api.Outcome.FULL, 0.0)
+            busy = CounterResponse(name, Outcome.QUEUE_FULL, 0.0)
             return self.later(WIRE_MS, lambda: self.give(index, busy))
         self.counter_free = max(self.counter_free, self.now) + self.counter_gap
         total = self.numbers[name] = self.numbers.get(name, 0.0) + amount
         self.seen["counted"] += 1
-        reply, lag = api.CounterReplied(name, api.Outcome.OK, total), self.counter_free - self.now + WIRE_MS
+        reply, lag = CounterResponse(name, Outcome.OK, total), self.counter_free - self.now + WIRE_MS
         if lag > self.counter_wait:
             self.seen["late"] += 1
-            reply, lag = api.CounterReplied(name, api.Outcome.TIMED_OUT, 0.0), self.counter_wait
+            reply, lag = CounterResponse(name, Outcome.TIMED_OUT, 0.0), self.counter_wait
         self.later(lag, lambda: self.give(index, reply))
 
     def send(self, index: int, request: str, backend: int) -> None:
@@ -161,7 +175,7 @@
             inside = self.stores[caller.name].take(self.now)
             self.seen["inside" if inside else "beyond", caller.plan.name] += 1
         lag = self.answer_ms(self.chance, backend)
-        ended = api.AttemptEnded(request, attempts, backend, api.Outcome.OK, lag, True)
+        ended = AttemptEnded(request, attempts, backend, Outcome.OK, lag, True)
         self.later(lag, lambda: self.give(index, ended))
 
     def end(self, request: str, wait: float) -> None:
--- a/tests/loopback.py
+++ b/tests/support/loopback.py
@@ -12,12 +12,12 @@
 import hiredis
 import uvloop
 
-from mintford.interface import BackendState, ListScope
-from roadpulley.__main__ import serve
-from roadpulley.backoff import Backoff
-from roadpulley.config import parse_config
-from roadpulley.discovery import BACKOFF_S, Member
-from roadpulley.discovery import Discovery as DiscoveryClient
+from gateway.__main__ import serve
+from gateway.network.backoff import Backoff
+from gateway.network.configuration import parse_config
+from gateway.network.endpoint_watch import BACKOFF_S, Member
+from gateway.network.endpoint_watch import Discovery as DiscoveryClient
+from gateway.policy.events import EndpointState, UpdateKind
 
 LOCAL = "127.0.0.1"
 SETTINGS: dict[str, Any] = {
@@ -226,7 +226,7 @@
     }
 
 
-Heard = list[tuple[ListScope, list[tuple[int, BackendState]]]]
+Heard = list[tuple[UpdateKind, list[tuple[int, EndpointState]]]]
 
 
 class Watch:
@@ -239,9 +239,9 @@
         self.again = again
 
     def take(
-        self, scope: ListScope, members: tuple[Member, ...], first: bool = True, last: bool = True
+        self, scope: UpdateKind, members: tuple[Member, ...], first: bool = True, last: bool = True
     ) -> None:
-        self.heard.append((scope, [(m.entry.backend, m.entry.state) for m in members]))
+        self.heard.append((scope, [(m.entry.backend_id, m.entry.state) for m in members]))
 
     async def __aenter__(self) -> Watch:
         await self.service.start()
