--- a/gateway/__main__.py
+++ b/gateway/__main__.py
@@ -20,9 +20,9 @@
 from .network.backoff import Backoff
 from .network.client_listener import ClientListener, RequestParser
 from .network.configuration import Config, ConfigError, load_config
-from .network.counter_client import Counter
+from .network.counter_client import CounterClient
 from .network.dispatcher import Dispatcher
-from .network.endpoint_watch import Discovery, EndpointListError, parse_endpoint_list
+from .network.endpoint_watch import EndpointListError, EndpointWatcher, parse_endpoint_list
 from .network.timers import TimerQueue
 from .policy.events import UpdateKind
 from .policy.settings import Settings
@@ -61,7 +61,7 @@
             self()
 
 
-def reload(load: Callable[[], Config], discovery: Discovery, counter: Counter | None) -> None:
+def reload(load: Callable[[], Config], discovery: EndpointWatcher, counter: CounterClient | None) -> None:
     """Take up the addresses that the configuration names now; all else stays as it was at the start."""
     try:
         config = load()
@@ -69,9 +69,9 @@
         return log.error("not reloaded, the old configuration stands: %s", error)
     log.info("reloaded")
     if config.discovery != discovery.address:
-        discovery.move(config.discovery)
+        discovery.move_to(config.discovery)
     if counter is not None and config.counter is not None:
-        counter.move(config.counter)
+        counter.move_to(config.counter)
 
 
 def drain_times(settings: Settings) -> tuple[float, float]:
@@ -113,38 +113,40 @@
     loop = asyncio.get_running_loop()
     timers = TimerQueue(loop)
     memory = int(config.memory_mb * MEMORY_SHARE * 2**20)
-    for_clients, for_backends = shares(config.sockets)
+    for_clients, for_backends = shares(config.max_descriptors)
     backends = BackendPool(
         loop,
         timers,
-        config.connect_timeout,
-        config.keepalive,
+        config.connect_timeout_ms,
+        config.keepalive_ms,
         config.settings.safety_rules.drain_grace_ms,
         for_backends,
         memory,
     )
     counter = (
-        Counter(loop, timers, config.counter, config.settings.counter_timeout_ms) if config.counter else None
+        CounterClient(loop, timers, config.counter, config.settings.counter_timeout_ms)
+        if config.counter
+        else None
     )
-    driver = Dispatcher(config.settings, config.seed, timers, backends, counter, config.max_open)
+    driver = Dispatcher(config.settings, config.seed, timers, backends, counter, config.max_open_requests)
 
     asked, version = config.settings.polls_endpoints, None
-    if config.known:
+    if config.cached_endpoints:
         try:
-            known = parse_endpoint_list(config.known)
+            known = parse_endpoint_list(config.cached_endpoints)
         except EndpointListError as error:
             log.error("the list known before cannot be read: %s", error)
         else:
             # It may be old, and what an agent holds counts as told from the first moment: that is read whole.
             version = known.version if asked else None
-            driver.members(UpdateKind.CACHED, known.members)
-    busy = Backoff(config.settings.gateway_count, config.ask_every / 1000, random.Random(config.seed))
+            driver.on_endpoints(UpdateKind.CACHED, known.members)
+    busy = Backoff(config.settings.gateway_count, config.poll_interval_ms / 1000, random.Random(config.seed))
     soon = max(SOONEST_S, config.settings.safety_rules.drain_grace_ms / 1000 * GRACES)
-    discovery = Discovery(config.discovery, version, driver.members, busy, asked, soon)
+    discovery = EndpointWatcher(config.discovery, version, driver.on_endpoints, busy, asked, soon)
     watch = loop.create_task(discovery.run())
     stopped = loop.create_task(stop.wait())
     if not asked:
-        read = loop.create_task(discovery.read.wait())
+        read = loop.create_task(discovery.snapshot_received.wait())
         await asyncio.wait({read, watch, stopped}, timeout=AGENT_S, return_when=asyncio.FIRST_COMPLETED)
         read.cancel()
     server = ClientListener(
@@ -172,16 +174,16 @@
     started = loop.time()
     keep, last = drain_times(config.settings)
     await asyncio.sleep(keep)
-    server.drain()
+    server.begin_shutdown()
     try:
         async with asyncio.timeout_at(started + last):
-            await server.empty.wait()
+            await server.all_closed.wait()
     except TimeoutError:
         log.warning("%d requests open at the end", len(driver.requests))
-        driver.fail_all()
+        driver.fail_open_requests()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(CLOSING_S):
-                await server.empty.wait()
+                await server.all_closed.wait()
     server.close()
     log.info("drained")
     watch.cancel()
--- a/gateway/network/backend_pool.py
+++ b/gateway/network/backend_pool.py
@@ -79,10 +79,10 @@
     backend: int
     encode: Callable[[int], bytes]
     deadline: float  # when the client gives up
-    ended: Callable[[Attempt, Outcome, bytes], None]
+    on_end: Callable[[Attempt, Outcome, bytes], None]
     start_before: float = math.inf  # when its first byte may be written at the latest
-    look: Callable[[], None] | None = None  # gives it up if its client has left
-    connection: Connection | None = None
+    detect_disconnect: Callable[[], None] | None = None  # gives it up if its client has left
+    connection: BackendConnection | None = None
     timer: Timer | None = None  # of its time-out
     over: bool = False
 
@@ -91,16 +91,16 @@
             self.over, self.connection = True, None
             if self.timer is not None:
                 self.timer.cancel()
-            self.ended(self, outcome, value)
+            self.on_end(self, outcome, value)
 
 
-class Connection:
+class BackendConnection:
     """One connection, with one attempt on it at a time.
 
     Answers come in order and giving up means closing, so a second attempt would share the first one's fate.
     """
 
-    def __init__(self, pool: BackendPool, host: Host, attempt: Attempt) -> None:
+    def __init__(self, pool: BackendPool, host: BackendChannel, attempt: Attempt) -> None:
         self.pool, self.host, self.address = pool, host, host.address
         self.attempt: Attempt | None = attempt
         self.answer = bytearray()  # what has come of it
@@ -141,8 +141,8 @@
             return self.end(Outcome.CONNECT_ERROR)
         self.up = True
         self.pool.loop.add_reader(self.fd, self._readable)
-        if self.attempt is not None and self.attempt.look is not None:
-            self.attempt.look()
+        if self.attempt is not None and self.attempt.detect_disconnect is not None:
+            self.attempt.detect_disconnect()
         if not self.closed:
             self.write()
 
@@ -268,12 +268,12 @@
     return Outcome.FAILED, False
 
 
-class Host:
+class BackendChannel:
     """A backend's address, its idle connections and when it was told to drain."""
 
     def __init__(self, address: Address) -> None:
         self.address = address
-        self.idle: list[Connection] = []  # the last used at the end
+        self.idle: list[BackendConnection] = []  # the last used at the end
         self.cutoff = float("inf")
 
     def takes_new(self, now: float) -> bool:
@@ -300,13 +300,13 @@
         # Of all that are listed, as texts: in a dictionary of tuples the garbage collector may visit all of
         # them after a change.
         self.addresses: dict[int, str] = {}
-        self.hosts: dict[int, Host] = {}  # of these, those with connections, and others that drain
-        self.connections: set[Connection] = set()
+        self.hosts: dict[int, BackendChannel] = {}  # of these, those with connections, and others that drain
+        self.connections: set[BackendConnection] = set()
         self.buffer = bytearray(READ_BYTES)  # of all connections: each takes out at once what it has read
         self.view = memoryview(self.buffer)
         self.unopened: Tally[str] = Tally()  # since the last sweep: one line tells of all
         self.spoilt: Tally[str] = Tally()  # answers, likewise
-        self.timers.at(now_ms() + SWEEP_MS, self.sweep)
+        self.timers.call_at(now_ms() + SWEEP_MS, self.sweep)
 
     # ---- the list ----
 
@@ -320,7 +320,7 @@
                 host.address = address
             host.cutoff = float("inf")
 
-    def keep(self, addresses: dict[int, str]) -> None:
+    def replace_endpoints(self, addresses: dict[int, str]) -> None:
         """Take a whole list, of those in `addresses`: what is not in it is gone."""
         for backend in self.hosts.keys() - addresses.keys():
             self.retire(backend)
@@ -334,10 +334,10 @@
 
     # ---- attempts ----
 
-    def send(self, attempt: Attempt) -> None:
+    def start(self, attempt: Attempt) -> None:
         host = self.hosts.get(attempt.backend)
         if host is None and (address := self.addresses.get(attempt.backend)):
-            host = self.hosts[attempt.backend] = Host(parse_address(address))
+            host = self.hosts[attempt.backend] = BackendChannel(parse_address(address))
         if host is None or not host.takes_new(now_ms()):
             return attempt.end(Outcome.CONNECT_ERROR)
         now = now_ms()
@@ -356,12 +356,12 @@
                 Outcome.CONNECT_ERROR
             )  # better one request turned away than no descriptors left
         try:
-            self.connections.add(Connection(self, host, attempt))
+            self.connections.add(BackendConnection(self, host, attempt))
         except OSError as error:
             self.unopened[error.strerror or "unknown"] += 1
             attempt.end(Outcome.CONNECT_ERROR)
 
-    def give_up(self, attempt: Attempt, outcome: Outcome) -> None:
+    def abandon(self, attempt: Attempt, outcome: Outcome) -> None:
         connection = attempt.connection
         if connection is not None:
             waiting = outcome is Outcome.TIMED_OUT and connection.broken() is Outcome.CONNECT_ERROR
@@ -371,19 +371,19 @@
 
     # ---- pools ----
 
-    def release(self, connection: Connection) -> None:
+    def release(self, connection: BackendConnection) -> None:
         host = connection.host
         if host.cutoff < float("inf") or connection.address != host.address:
             return connection.close()
         connection.idle_since = now_ms()
         host.idle.append(connection)
 
-    def forget(self, connection: Connection) -> None:
+    def forget(self, connection: BackendConnection) -> None:
         self.connections.discard(connection)
         if connection in connection.host.idle:
             connection.host.idle.remove(connection)
 
-    def close_idle(self, host: Host) -> None:
+    def close_idle(self, host: BackendChannel) -> None:
         for connection in list(host.idle):
             connection.close()
 
@@ -407,7 +407,7 @@
             if tally:
                 log.warning("%s: %s", what, dict(tally))
                 tally.clear()
-        self.timers.at(now + SWEEP_MS, self.sweep)
+        self.timers.call_at(now + SWEEP_MS, self.sweep)
 
     def close(self) -> None:
         for connection in list(self.connections):
--- a/gateway/network/client_listener.py
+++ b/gateway/network/client_listener.py
@@ -54,7 +54,7 @@
 
 
 @dataclass(slots=True)
-class Command:
+class ClientRequest:
     """A request as it came; all but the time left is passed on unchanged."""
 
     head: bytes  # encoded: command, customer, id
@@ -86,7 +86,7 @@
         self.plans = {p.name.encode(): p.name for p in settings.plans}
         self.max_request_cost, self.gateway_count = settings.max_request_cost, settings.gateway_count
 
-    def parse(self, args: list[bytes]) -> Command:
+    def parse(self, args: list[bytes]) -> ClientRequest:
         """Raises ValueError, with the reason, for what is not a request of a known class, plan and size.
 
         Danger: this is the only check. Unknown plans have no quota, negative units fill a bucket and take
@@ -126,7 +126,7 @@
         before, after = listed[: at + 2], listed[at + 2 + len(given[b"d"]) :]
         head = bulk(verb) + bulk(customer) + bulk(request)
         body = bulk(args[4]) if len(args) > 4 else b""
-        return Command(
+        return ClientRequest(
             head,
             before,
             after,
@@ -167,19 +167,19 @@
         self.request: str | None = None  # the id of a request that is still open
         self.answered = False
 
-    def answer(self, reply: bytes) -> None:
+    def complete(self, reply: bytes) -> None:
         if not self.answered:
             self.answered, self.reply, self.request = True, reply, None
-            self.connection.pump()
+            self.connection.process_input()
 
-    def look(self) -> None:
-        self.connection.look()
+    def detect_disconnect(self) -> None:
+        self.connection.detect_disconnect()
 
 
-class Handler(Protocol):
-    def on_command(self, command: Command, slot: PendingReply) -> None: ...
+class RequestHandler(Protocol):
+    def on_request(self, command: ClientRequest, slot: PendingReply) -> None: ...
 
-    def on_client_gone(self, request: str) -> None: ...
+    def on_client_disconnected(self, request: str) -> None: ...
 
 
 class ClientConnection:
@@ -200,7 +200,7 @@
 
     def _readable(self) -> None:
         if self._read():
-            self.pump()
+            self.process_input()
 
     def _read(self) -> bool:
         """Read what has come; whether there was anything."""
@@ -219,7 +219,7 @@
             self._count()
         return count > 0
 
-    def look(self) -> None:
+    def detect_disconnect(self) -> None:
         """Read all that has come, to see whether the client has left.
 
         The event loop tells of it in a turn of its own order: where this process was held up, timers, the
@@ -233,7 +233,7 @@
                 break
             got = True
         if got:
-            self.pump()
+            self.process_input()
         self._look_past()
 
     def _look_past(self) -> None:
@@ -248,11 +248,11 @@
 
     def _writable(self) -> None:
         self._send()
-        self.pump()
+        self.process_input()
 
     # ---- commands ----
 
-    def pump(self) -> None:
+    def process_input(self) -> None:
         """Take commands and write answers, as far as both go; answers given at once are written together."""
         if self.pumping or self.closed:
             return
@@ -367,22 +367,22 @@
         verb = args[0].upper()
         if verb in VERBS:
             try:
-                command = self.server.terms.parse(args)
+                command = self.server.parser.parse(args)
             except ValueError as error:
                 self.server.refused[str(error)] += 1
-                return slot.answer(b"-ERR %b\r\n" % str(error).encode())
+                return slot.complete(b"-ERR %b\r\n" % str(error).encode())
             self.server.asked(self)
             slot.request = command.id
-            self.server.handler.on_command(command, slot)
+            self.server.handler.on_request(command, slot)
         elif verb == b"PING":
-            slot.answer(bulk(args[1]) if len(args) > 1 else b"+PONG\r\n")
+            slot.complete(bulk(args[1]) if len(args) > 1 else b"+PONG\r\n")
         elif verb in HARMLESS:
-            slot.answer(b"+OK\r\n")
+            slot.complete(b"+OK\r\n")
         elif verb == b"QUIT":
-            slot.answer(b"+OK\r\n")
+            slot.complete(b"+OK\r\n")
             self._hear_no_more()
         else:
-            slot.answer(b"-ERR unknown command\r\n")
+            slot.complete(b"-ERR unknown command\r\n")
 
     def _hear_no_more(self) -> None:
         self.closing, self.reader = True, CommandParser()  # what was read ahead is not answered any more
@@ -413,7 +413,7 @@
             self.close()
         elif self.due is not None and now > self.due and not self.closing and self.reading:
             self.refuse_protocol("command not whole in time")
-            self.pump()
+            self.process_input()
         elif now - self.used_at > (YOUNG_MS if self.server.draining else IDLE_MS):
             self.retire()
         else:
@@ -439,7 +439,7 @@
         for slot in slots:
             slot.answered = True
             if slot.request is not None:
-                self.server.handler.on_client_gone(slot.request)
+                self.server.handler.on_client_disconnected(slot.request)
 
 
 class ClientListener:
@@ -449,12 +449,12 @@
         self,
         loop: asyncio.AbstractEventLoop,
         timers: TimerQueue,
-        handler: Handler,
-        terms: RequestParser,
+        handler: RequestHandler,
+        parser: RequestParser,
         most: int,
         memory: int,
     ) -> None:
-        self.loop, self.timers, self.handler, self.terms, self.most = loop, timers, handler, terms, most
+        self.loop, self.timers, self.handler, self.parser, self.most = loop, timers, handler, parser, most
         self.most_unsent, self.unsent = memory, 0  # bytes of answers that are not taken yet, of all clients
         self.most_ahead, self.ahead = int(memory * AHEAD_SHARE), 0  # of commands that are not taken, likewise
         self.buffer = bytearray(READ_BYTES)  # of all connections: each takes out at once what it has read
@@ -466,8 +466,8 @@
         self.draining = self.accepting = False
         self.listener: socket.socket | None = None
         self.waiting: Timer | None = None  # to accept again
-        self.empty = asyncio.Event()
-        self.empty.set()
+        self.all_closed = asyncio.Event()
+        self.all_closed.set()
 
     def listen(self, host: str, port: int) -> int:
         """Start to accept; gives the port."""
@@ -490,7 +490,7 @@
         if self.listener is not None and self.accepting:
             self.accepting = False
             self.loop.remove_reader(self.listener.fileno())
-            self.waiting = self.timers.at(now_ms() + RETRY_MS, self._accept_more)
+            self.waiting = self.timers.call_at(now_ms() + RETRY_MS, self._accept_more)
 
     def _accept(self) -> None:
         for turn in range(TAKEN_AT_ONCE):
@@ -518,7 +518,7 @@
         accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         connection = ClientConnection(self, accepted)
         self.connections[connection] = self.silent[connection] = None
-        self.empty.clear()
+        self.all_closed.clear()
         return True
 
     def make_room(self) -> bool:
@@ -548,7 +548,7 @@
         self.connections.pop(connection, None)
         self.silent.pop(connection, None)
         if not self.connections:
-            self.empty.set()
+            self.all_closed.set()
 
     def drop_slowest(self) -> None:
         """Give up the client that has taken nothing for the longest time, before memory runs out."""
@@ -565,9 +565,9 @@
             log.warning("refused: %s", dict(self.refused))
             self.refused.clear()
             self.told_at = now
-        self.timers.at(now + SWEEP_MS, self.sweep)
+        self.timers.call_at(now + SWEEP_MS, self.sweep)
 
-    def drain(self) -> None:
+    def begin_shutdown(self) -> None:
         """Accept nothing more, and close each connection as soon as it has its answers.
 
         Those that wait to be taken in count as taken in, and may have asked already: a close of the listener
@@ -590,7 +590,7 @@
         for connection in list(self.connections):
             connection.check(now_ms())
         if self.connections:
-            self.timers.at(now_ms() + RETRY_MS, self._hasten)
+            self.timers.call_at(now_ms() + RETRY_MS, self._hasten)
 
     def close(self) -> None:
         """The end of the process: what has come until now still gets an answer."""
--- a/gateway/network/configuration.py
+++ b/gateway/network/configuration.py
@@ -24,14 +24,14 @@
     discovery: Address
     counter: Address | None
     seed: int
-    sockets: int
+    max_descriptors: int
     memory_mb: int
     settings: Settings
-    connect_timeout: float  # milliseconds, as all times here
-    keepalive: float
-    max_open: int
-    ask_every: float  # how old a list that must be asked for may grow
-    known: dict[str, Any]  # the list of backends as this gateway last had it, in discovery's form
+    connect_timeout_ms: float  # milliseconds, as all times here
+    keepalive_ms: float
+    max_open_requests: int
+    poll_interval_ms: float  # how old a list that must be asked for may grow
+    cached_endpoints: dict[str, Any]  # the list of backends as this gateway last had it, in discovery's form
 
 
 def parse_address(text: str) -> Address:
@@ -51,14 +51,14 @@
             discovery=parse_address(raw["discovery"]),
             counter=parse_address(raw["counter"]) if raw.get("counter") else None,
             seed=int(str(raw.get("seed") or "0"), 16),
-            sockets=int((raw.get("limits") or {}).get("sockets") or 1024),
+            max_descriptors=int((raw.get("limits") or {}).get("sockets") or 1024),
             memory_mb=int((raw.get("limits") or {}).get("memory_mb") or 64),
             settings=parse_settings(settings),
-            connect_timeout=float(caps.get("connectTimeout") or 250),
-            keepalive=float(caps.get("keepalive") or 15_000),
-            ask_every=float((settings.get("rules") or {}).get("askEvery") or 10_000),
-            max_open=int(caps.get("maxOpen") or 10_000),
-            known=raw.get("known") or {},
+            connect_timeout_ms=float(caps.get("connectTimeout") or 250),
+            keepalive_ms=float(caps.get("keepalive") or 15_000),
+            poll_interval_ms=float((settings.get("rules") or {}).get("askEvery") or 10_000),
+            max_open_requests=int(caps.get("maxOpen") or 10_000),
+            cached_endpoints=raw.get("known") or {},
         )
     except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise ConfigError(f"{type(error).__name__}: {error}") from error
--- a/gateway/network/counter_client.py
+++ b/gateway/network/counter_client.py
@@ -29,12 +29,12 @@
 Done = Callable[[str, Outcome, float], None]
 
 
-class Call:
+class CounterCall:
     """One call; `done` is called exactly once."""
 
     __slots__ = ("counter", "done", "line", "name", "outcome", "over", "reading", "timer")
 
-    def __init__(self, counter: Counter, name: str, line: bytes, done: Done) -> None:
+    def __init__(self, counter: CounterClient, name: str, line: bytes, done: Done) -> None:
         self.counter, self.name, self.line, self.done, self.over = counter, name, line, done, False
         self.outcome, self.reading = Outcome.TIMED_OUT, 0.0
         self.timer: Timer | None = None
@@ -50,10 +50,10 @@
 class CounterConnection(asyncio.Protocol):
     """Calls written one behind another; the oldest unanswered one gets the next answer, however late."""
 
-    def __init__(self, counter: Counter) -> None:
+    def __init__(self, counter: CounterClient) -> None:
         self.counter = counter
         self.transport: asyncio.Transport | None = None
-        self.owed: deque[Call] = deque()
+        self.owed: deque[CounterCall] = deque()
         self.rest = b""
         self.closed = False
         self.heard_at = self.used_at = now_ms()
@@ -61,7 +61,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
 
-    def write(self, calls: list[Call]) -> None:
+    def write(self, calls: list[CounterCall]) -> None:
         assert self.transport is not None
         now = now_ms()
         if not self.owed:
@@ -120,14 +120,16 @@
 class CounterChannel:
     """The calls whose names share a connection, so that answers for one name keep the order of its calls."""
 
-    def __init__(self, counter: Counter) -> None:
+    def __init__(self, counter: CounterClient) -> None:
         self.counter = counter
         self.connection: CounterConnection | None = None
-        self.waiting: list[Call] = []  # for a connection, or for the end of this turn of the event loop
+        self.waiting: list[
+            CounterCall
+        ] = []  # for a connection, or for the end of this turn of the event loop
         self.flushing = False
         self.connecting: asyncio.Task[None] | None = None
 
-    def add(self, call: Call) -> None:
+    def add(self, call: CounterCall) -> None:
         self.waiting.append(call)
         if not self.flushing:
             self.flushing = True
@@ -167,7 +169,7 @@
             self.connecting = None
         self.flush()
 
-    def move(self) -> None:
+    def move_to(self) -> None:
         """Leave the old address: what it owes is still read, what is unwritten goes to the new one."""
         if self.connecting is not None:
             self.connecting.cancel()
@@ -187,31 +189,31 @@
             call.end(outcome)
 
 
-class Counter:
+class CounterClient:
     def __init__(
         self, loop: asyncio.AbstractEventLoop, timers: TimerQueue, address: Address, wait: float
     ) -> None:
         self.loop, self.timers, self.address, self.wait = loop, timers, address, wait
         self.lanes = [CounterChannel(self) for _ in range(CONNECTIONS)]
         self.left: set[CounterConnection] = set()  # at an earlier address, for the answers still owed
-        self.calls: dict[str, deque[Call]] = {}  # by name, the oldest first: those not yet told of
+        self.calls: dict[str, deque[CounterCall]] = {}  # by name, the oldest first: those not yet told of
         self.dropped: Tally[str] = Tally()  # connections, by reason, since the last line of the log
-        timers.at(now_ms() + SUMMARY_MS, self.summarize)
+        timers.call_at(now_ms() + SUMMARY_MS, self.summarize)
 
-    def move(self, address: Address) -> None:
+    def move_to(self, address: Address) -> None:
         if address != self.address:
             self.address = address
             for lane in self.lanes:
-                lane.move()
+                lane.move_to()
 
-    def add(self, name: str, amount: float, expire_in: float, done: Done) -> None:
+    def increment(self, name: str, amount: float, expire_in: float, done: Done) -> None:
         encoded = name.encode()
         line = b"tally %b %b %d\r\n" % (encoded, b"%.6f" % amount, max(1, int(expire_in)))
-        call = Call(self, name, line, done)
+        call = CounterCall(self, name, line, done)
         self.calls.setdefault(name, deque()).append(call)
         lane = self.lanes[zlib.crc32(encoded) % len(self.lanes)]
         lane.add(call)
-        call.timer = self.timers.at(now_ms() + self.wait, partial(self.expire, lane, call))
+        call.timer = self.timers.call_at(now_ms() + self.wait, partial(self.expire, lane, call))
 
     def tell(self, name: str) -> None:
         """Tell the outcomes of a name's calls in the order of the calls.
@@ -230,9 +232,9 @@
         if self.dropped:
             log.warning("connections dropped: %s", dict(self.dropped))
             self.dropped.clear()
-        self.timers.at(now_ms() + SUMMARY_MS, self.summarize)
+        self.timers.call_at(now_ms() + SUMMARY_MS, self.summarize)
 
-    def expire(self, lane: CounterChannel, call: Call) -> None:
+    def expire(self, lane: CounterChannel, call: CounterCall) -> None:
         written = call not in lane.waiting
         call.end(Outcome.TIMED_OUT if written else Outcome.CONNECT_ERROR)
 
--- a/gateway/network/dispatcher.py
+++ b/gateway/network/dispatcher.py
@@ -31,9 +31,9 @@
 )
 from ..policy.settings import Settings
 from .backend_pool import Attempt, BackendPool
-from .client_listener import Command, PendingReply
-from .counter_client import Counter
-from .endpoint_watch import Member
+from .client_listener import ClientRequest, PendingReply
+from .counter_client import CounterClient
+from .endpoint_watch import ListedEndpoint
 from .resp import bulk
 from .timers import Timer, TimerQueue, now_ms
 
@@ -47,7 +47,7 @@
 
     __slots__ = ("command", "deadline", "live", "made", "slot", "timer")
 
-    def __init__(self, command: Command, slot: PendingReply, deadline: float) -> None:
+    def __init__(self, command: ClientRequest, slot: PendingReply, deadline: float) -> None:
         self.command, self.slot, self.deadline = command, slot, deadline
         self.made = 0  # attempts so far
         self.live: dict[int, Attempt] = {}  # attempts out, by number
@@ -67,10 +67,10 @@
         seed: int,
         timers: TimerQueue,
         backends: BackendPool,
-        counter: Counter | None,
+        counter: CounterClient | None,
         max_open: int,
     ) -> None:
-        self.gateway, self.settings = GatewayPolicy(settings, seed), settings
+        self.policy, self.settings = GatewayPolicy(settings, seed), settings
         self.timers, self.backends, self.counter, self.max_open = timers, backends, counter, max_open
         self.requests: dict[str, Request] = {}
         self.attempts: dict[tuple[str, int], Attempt] = {}  # out, also those of requests that have ended
@@ -81,7 +81,7 @@
 
     # ---- events ----
 
-    def give(self, event: Event) -> None:
+    def deliver(self, event: Event) -> None:
         self.events.append(event)
         if self.busy:
             return
@@ -90,24 +90,24 @@
             while self.events:
                 event = self.events.popleft()
                 try:
-                    for action in self.gateway.handle(now_ms(), event):
+                    for action in self.policy.handle(now_ms(), event):
                         self.act(action)
                 except Exception:
                     # One event's fault must not take the others with it.
                     log.exception("%s could not be handled", type(event).__name__)
-                    self.abandon(event)
+                    self.fail_request_of(event)
                 if isinstance(event, ClientDisconnected):
                     self.left.pop(event.request_id, None)
         finally:
             self.busy = False
 
-    def abandon(self, event: Event) -> None:
+    def fail_request_of(self, event: Event) -> None:
         """The honest end of a request whose event the module failed at: whether it ran is not known."""
         if isinstance(event, RequestArrived | AttemptEnded):
             self.finish(event.request_id, FAILED)
 
-    def members(
-        self, scope: UpdateKind, members: tuple[Member, ...], first: bool = True, last: bool = True
+    def on_endpoints(
+        self, scope: UpdateKind, members: tuple[ListedEndpoint, ...], first: bool = True, last: bool = True
     ) -> None:
         if scope is not UpdateKind.DELTA and first:
             self.listed = {}
@@ -119,18 +119,18 @@
                 if address := self.backends.addresses.get(member.entry.backend_id):
                     self.listed[member.entry.backend_id] = address
             if last:
-                self.backends.keep(self.listed)
+                self.backends.replace_endpoints(self.listed)
                 self.listed = {}
-        self.give(EndpointUpdate(scope, tuple(m.entry for m in members), first, last))
+        self.deliver(EndpointUpdate(scope, tuple(m.entry for m in members), first, last))
 
-    def on_command(self, command: Command, slot: PendingReply) -> None:
+    def on_request(self, command: ClientRequest, slot: PendingReply) -> None:
         # Danger: an attempt that goes on after its request's answer is known by the id as well.
         out = any((command.id, number) in self.attempts for number in range(self.settings.max_attempts))
         if out or command.id in self.requests:
             slot.request = None  # the other one's
-            return slot.answer(b"-ERR id in use\r\n")
+            return slot.complete(b"-ERR id in use\r\n")
         if self.ending or len(self.requests) >= self.max_open:
-            return slot.answer(b"-BUSY\r\n")
+            return slot.complete(b"-BUSY\r\n")
         event = RequestArrived(
             request_id=command.id,
             request_class=command.request_class,
@@ -143,27 +143,27 @@
             is_retry=command.repeat,
         )
         owner = self.requests[command.id] = Request(command, slot, event.deadline)
-        owner.timer = self.timers.at(owner.deadline, partial(self.on_expired, owner))
-        self.give(event)
+        owner.timer = self.timers.call_at(owner.deadline, partial(self.on_expired, owner))
+        self.deliver(event)
 
     def on_expired(self, owner: Request) -> None:
         """The client's patience ends: so do the attempts, and the module owes the final answer."""
         request = owner.command.id
-        self.give_up(owner, Outcome.TIMED_OUT)
+        self.abandon(owner, Outcome.TIMED_OUT)
         if self.requests.get(request) is owner:
             # Only a fault brings a request here unanswered; its client must not wait in vain even so.
             log.error("request %s had no answer at its end", request)
             self.finish(request, FAILED)
-            self.give(ClientDisconnected(request))
+            self.deliver(ClientDisconnected(request))
 
-    def on_client_gone(self, request: str) -> None:
+    def on_client_disconnected(self, request: str) -> None:
         owner = self.requests.pop(request, None)
         if owner is None:
             return
         self.left[request] = owner
-        self.give(ClientDisconnected(request))
+        self.deliver(ClientDisconnected(request))
         # Nobody is waiting any more; a backend may then drop what it has not begun.
-        self.give_up(owner, Outcome.CANCELLED)
+        self.abandon(owner, Outcome.CANCELLED)
         self.settle(owner)
 
     def on_ended(
@@ -183,10 +183,10 @@
         if finished:
             self.settle(owner)
         lag = now_ms() - sent_at
-        self.give(AttemptEnded(request, number, attempt.backend, outcome, lag, finished))
+        self.deliver(AttemptEnded(request, number, attempt.backend, outcome, lag, finished))
 
     def on_counted(self, name: str, outcome: Outcome, reading: float) -> None:
-        self.give(CounterResponse(name, outcome, reading))
+        self.deliver(CounterResponse(name, outcome, reading))
 
     # ---- actions ----
 
@@ -196,50 +196,53 @@
                 self.send(request, backend, timeout, latest)
             case CancelAttempt(request, number):
                 if attempt := self.attempts.get((request, number)):
-                    self.backends.give_up(attempt, Outcome.CANCELLED)
+                    self.backends.abandon(attempt, Outcome.CANCELLED)
             case Reject(request, retry_after):
                 wait = math.ceil(retry_after)
                 self.finish(request, b"-BUSY %d\r\n" % wait if wait > 0 else b"-BUSY\r\n")
             case Fail(request):
                 self.finish(request, FAILED)
             case SetTimer(delay, token):
-                self.timers.at(now_ms() + delay, partial(self.give, TimerFired(token)))
+                self.timers.call_at(now_ms() + delay, partial(self.deliver, TimerFired(token)))
             case IncrementCounter(name, amount, expire_in):
                 if self.counter is None:
-                    self.give(CounterResponse(name, Outcome.CONNECT_ERROR, 0.0))
+                    self.deliver(CounterResponse(name, Outcome.CONNECT_ERROR, 0.0))
                 else:
-                    self.counter.add(name, amount, expire_in, self.on_counted)
+                    self.counter.increment(name, amount, expire_in, self.on_counted)
             case WatchEndpoints():
                 pass  # the list is always followed
 
     def send(self, request: str, backend: int, timeout: float, latest: float) -> None:
         if waiting := self.requests.get(request):
-            waiting.slot.look()  # Danger: sent on for a client whose end is not read yet, it runs for nobody
+            # Danger: forwarded for a client whose disconnect is not read yet, it runs for nobody.
+            waiting.slot.detect_disconnect()
         now, owner = now_ms(), self.requests.get(request)
         if owner is None or owner.made >= self.settings.max_attempts:
             of = owner or self.left.get(request)
             number = of.made if of else 0
             if of is not None and owner is None:
                 of.made += 1
-            self.give(AttemptEnded(request, number, backend, Outcome.NOT_STARTED, 0.0, owner is None))
+            self.deliver(AttemptEnded(request, number, backend, Outcome.NOT_STARTED, 0.0, owner is None))
             return
         number, owner.made = owner.made, owner.made + 1
         ended = partial(self.on_ended, owner, number, now)
-        attempt = Attempt(backend, owner.command.encode, owner.deadline, ended, latest, owner.slot.look)
+        attempt = Attempt(
+            backend, owner.command.encode, owner.deadline, ended, latest, owner.slot.detect_disconnect
+        )
         self.attempts[request, number] = owner.live[number] = attempt
         if 0 < timeout < owner.deadline - now:
-            give_up = partial(self.backends.give_up, attempt, Outcome.TIMED_OUT)
-            attempt.timer = self.timers.at(now + timeout, give_up)
-        self.backends.send(attempt)
+            give_up = partial(self.backends.abandon, attempt, Outcome.TIMED_OUT)
+            attempt.timer = self.timers.call_at(now + timeout, give_up)
+        self.backends.start(attempt)
 
-    def give_up(self, owner: Request, outcome: Outcome) -> None:
+    def abandon(self, owner: Request, outcome: Outcome) -> None:
         for attempt in list(owner.live.values()):
-            self.backends.give_up(attempt, outcome)
+            self.backends.abandon(attempt, outcome)
 
     def finish(self, request: str, reply: bytes) -> None:
         """Give the one final answer; a second one is not sent."""
         if owner := self.requests.pop(request, None):
-            owner.slot.answer(reply)
+            owner.slot.complete(reply)
             self.settle(owner)
 
     def settle(self, owner: Request) -> None:
@@ -247,9 +250,9 @@
         if owner.timer is not None and not owner.live:
             owner.timer.cancel()
 
-    def fail_all(self) -> None:
+    def fail_open_requests(self) -> None:
         """Answer what is still open when the process has to end, and send nothing on from now on."""
         self.ending = True
         for request in list(self.requests):
             self.finish(request, FAILED)
-            self.give(ClientDisconnected(request))
+            self.deliver(ClientDisconnected(request))
--- a/gateway/network/endpoint_watch.py
+++ b/gateway/network/endpoint_watch.py
@@ -43,7 +43,7 @@
     """Discovery has too much to do; asking again soon is what keeps it so."""
 
 
-class Member(NamedTuple):
+class ListedEndpoint(NamedTuple):
     entry: Endpoint
     address: Address
 
@@ -52,12 +52,12 @@
 class EndpointList:
     version: int
     whole: bool
-    members: tuple[Member, ...]
+    members: tuple[ListedEndpoint, ...]
 
 
-class Listener(Protocol):
+class EndpointListener(Protocol):
     def __call__(
-        self, scope: UpdateKind, members: tuple[Member, ...], first: bool = True, last: bool = True
+        self, scope: UpdateKind, members: tuple[ListedEndpoint, ...], first: bool = True, last: bool = True
     ) -> None:
         """Take changes, or one part of a whole list."""
 
@@ -67,7 +67,7 @@
     return int.from_bytes(hashlib.blake2b(host.encode(), digest_size=8).digest(), "big")
 
 
-def read_member(raw: dict[str, Any]) -> Member:
+def read_member(raw: dict[str, Any]) -> ListedEndpoint:
     cell = int(raw.get("block") or 0)
     if not -LARGEST <= cell < LARGEST:
         raise ValueError(f"no number of a cell: {cell}")
@@ -78,13 +78,13 @@
         started_at=float(raw.get("born_ms") or 0),
         state=STATES[raw["health"]],
     )
-    return Member(entry, parse_address(raw["dial"]))
+    return ListedEndpoint(entry, parse_address(raw["dial"]))
 
 
 MALFORMED = (KeyError, TypeError, ValueError, AttributeError, OverflowError)
 
 
-def parse_members(hosts: Iterable[Any]) -> tuple[Member, ...]:
+def parse_members(hosts: Iterable[Any]) -> tuple[ListedEndpoint, ...]:
     try:
         return tuple(read_member(host) for host in hosts)
     except MALFORMED as error:
@@ -105,7 +105,7 @@
 
 
 @dataclass(eq=False, slots=True)
-class Watch:
+class WatchCall:
     """One call to discovery, from its connection to its end."""
 
     address: Address
@@ -119,7 +119,7 @@
             self.task.cancel()
 
 
-class Discovery:
+class EndpointWatcher:
     """Follows the list from a version on and reports each change.
 
     `asked` tells whether each watch is a call that discovery has to serve: then the first ones of a fleet are
@@ -133,22 +133,22 @@
         self,
         address: Address,
         version: int | None,
-        listener: Listener,
+        listener: EndpointListener,
         busy: Backoff,
         asked: bool = False,
         again: float = BACKOFF_S[0],
     ) -> None:
         self.address, self.version, self.listener = address, version, listener
         self.busy, self.asked, self.again = busy, asked, again
-        self.read = asyncio.Event()  # a whole list has come
-        self._follower: Watch | None = None  # the watch that is heard
-        self._tries: list[Watch] = []  # those not heard yet, the oldest first
+        self.snapshot_received = asyncio.Event()  # a whole list has come
+        self._follower: WatchCall | None = None  # the watch that is heard
+        self._tries: list[WatchCall] = []  # those not heard yet, the oldest first
         self._wait, self._next_at = BACKOFF_S[0], 0.0  # after a watch has ended; for the next one
         self._reason = ""  # why the last watch ended
         self._told = 0  # entries, since what else waits had its turn
         self._changed = asyncio.Event()
 
-    def move(self, address: Address) -> None:
+    def move_to(self, address: Address) -> None:
         """Follow another address from now on; the old one is heard until the new one answers.
 
         Its versions need not be those of the old one, so the whole list is read before its changes.
@@ -184,12 +184,12 @@
     def _open(self) -> None:
         if len(self._tries) >= MOST_TRIES:
             self._tries.pop(0).cancel()
-        watch = Watch(self.address, whole=self.version is None)
+        watch = WatchCall(self.address, whole=self.version is None)
         watch.task = asyncio.ensure_future(self._watch(watch, self._target()))
         watch.task.add_done_callback(partial(self._on_end, watch))
         self._tries.append(watch)
 
-    def _on_heard(self, watch: Watch) -> None:
+    def _on_heard(self, watch: WatchCall) -> None:
         """Follow this one from now on, and leave all others."""
         others = [w for w in (*self._tries, self._follower) if w is not None and w is not watch]
         watch.heard, self._follower, self._tries = True, watch, []
@@ -197,7 +197,7 @@
             other.cancel()
         self._changed.set()
 
-    def _on_end(self, watch: Watch, task: asyncio.Task[str]) -> None:
+    def _on_end(self, watch: WatchCall, task: asyncio.Task[str]) -> None:
         if watch is self._follower:
             self._follower = None
         elif watch in self._tries:
@@ -224,7 +224,7 @@
             self._next_at = asyncio.get_running_loop().time() + self._wait
         self._changed.set()
 
-    async def _watch(self, watch: Watch, target: str) -> str:
+    async def _watch(self, watch: WatchCall, target: str) -> str:
         """Follow the list until the connection ends; gives the reason."""
         try:
             async with contextlib.aclosing(self._objects(watch, target)) as objects:
@@ -257,10 +257,10 @@
         except JsonStreamError as error:
             raise self._unread(str(error)) from error
 
-    async def _take(self, watch: Watch, text: bytes) -> None:
+    async def _take(self, watch: WatchCall, text: bytes) -> None:
         """Tell what an object holds, a few entries at a time; what scope it has may stand behind them."""
         fields: dict[str, Any] = {}
-        parts: deque[tuple[Member, ...]] = deque()
+        parts: deque[tuple[ListedEndpoint, ...]] = deque()
         first = True
         await self._turn(A_MESSAGE + len(text) // COPIED)
         try:
@@ -285,9 +285,11 @@
         if watch.address == self.address:
             self.version = version
             if whole:
-                self.read.set()
+                self.snapshot_received.set()
 
-    def _tell(self, fields: dict[str, Any], members: tuple[Member, ...], first: bool, last: bool) -> None:
+    def _tell(
+        self, fields: dict[str, Any], members: tuple[ListedEndpoint, ...], first: bool, last: bool
+    ) -> None:
         self.listener(UpdateKind.SNAPSHOT if fields.get("whole") else UpdateKind.DELTA, members, first, last)
 
     async def _turn(self, entries: int) -> None:
@@ -297,7 +299,7 @@
             self._told = 0
             await asyncio.sleep(0)
 
-    async def _objects(self, watch: Watch, target: str) -> AsyncGenerator[bytes, None]:
+    async def _objects(self, watch: WatchCall, target: str) -> AsyncGenerator[bytes, None]:
         host, port = watch.address
         async with asyncio.timeout(CONNECT_S):
             reader, writer = await asyncio.open_connection(host, port)
--- a/gateway/network/timers.py
+++ b/gateway/network/timers.py
@@ -43,7 +43,7 @@
         self._handle: asyncio.TimerHandle | None = None
         self._handle_due = math.inf
 
-    def at(self, due: float, callback: Callable[[], None]) -> Timer:
+    def call_at(self, due: float, callback: Callable[[], None]) -> Timer:
         timer = Timer(callback)
         heapq.heappush(self._heap, (due, next(self._serial), timer))
         if due < self._handle_due:
--- a/gateway/policy/policy.py
+++ b/gateway/policy/policy.py
@@ -37,7 +37,7 @@
 )
 from .settings import DeduplicationScope, Idempotency, Plan, RequestClass, SafetyRules, Settings
 from .shared_bucket import MEMORY_MS, SharedTokenBucket
-from .subsetting import Membership
+from .subsetting import EndpointSubset
 from .timers import TimerKind, TimerToken
 
 LEASE_MS = 15_000.0  # the design's lease
@@ -154,7 +154,7 @@
             c.idempotency is Idempotency.WITH_KEY and c.deduplication_scope is DeduplicationScope.CELL
             for c in settings.request_classes
         )
-        self.members = Membership(settings.gateway_index, settings.gateway_count, self.use, in_cells)
+        self.members = EndpointSubset(settings.gateway_index, settings.gateway_count, self.use, in_cells)
         self.ordering = False  # a timer will go on with the order of the members
         self.requests: dict[str, Request] = {}
         self.attempts: dict[tuple[str, int], Attempt] = {}  # out, the oldest first
@@ -458,7 +458,7 @@
             return out.append(
                 SetTimer(self.settings.safety_rules.drain_grace_ms, TimerToken(TimerKind.WATCH_ENDPOINTS))
             )
-        self.members.take(event)
+        self.members.apply(event)
         for entry in event.endpoints:
             if entry.state is EndpointState.REMOVED:
                 self.backends.pop(entry.backend_id, None)
@@ -478,13 +478,13 @@
     @property
     def subset(self) -> list[Backend]:
         """The backends that this gateway uses."""
-        return self.members.subset
+        return self.members.backends
 
     def use(self, entry: Endpoint) -> Backend:
         b = self.backends.get(entry.backend_id)
         if b is None:
             if len(self.backends) > len(self.subset) + KEPT:
-                kept = set(self.members.slice)
+                kept = set(self.members.backend_ids)
                 self.backends = {i: b for i, b in self.backends.items() if b.out or i in kept}
             b = self.backends[entry.backend_id] = Backend(entry, self.settings.safety_rules)
         return b
@@ -538,7 +538,7 @@
             cell = request.ran[0].backend.zone, request.ran[0].backend.cell
         elif request.ran and kind.idempotency is Idempotency.UNSAFE:
             return []
-        found = self.members.others(self.random, cell)
+        found = self.members.sample_outside(self.random, cell)
         others = [self.backends.get(e.backend_id) or Backend(e, self.settings.safety_rules) for e in found]
         return [b for b in others if self.may_go(now, request, b)]
 
@@ -572,7 +572,7 @@
             out.append(WatchEndpoints())
         if event.token.kind is TimerKind.BUILD_ORDER:
             self.ordering = False
-            self.members.step()
+            self.members.continue_rebuild()
             self.order_on(out)
             return
         if (
--- a/gateway/policy/subsetting.py
+++ b/gateway/policy/subsetting.py
@@ -82,7 +82,7 @@
         return [int.from_bytes(key[8:], "big") for key in self.sorted.islice(start, end)]
 
 
-class Membership(Generic[Used]):
+class EndpointSubset(Generic[Used]):
     """`subset` holds what `use` makes of each backend of the slice, in order."""
 
     def __init__(
@@ -92,8 +92,8 @@
         self.listed: dict[int, Record] = {}
         self.zones: dict[str, int] = {}  # their numbers in records
         self.order = Order(None, by_cell)
-        self.subset: list[Used] = []
-        self.slice: list[int] = []  # the backends of `subset`
+        self.backends: list[Used] = []
+        self.backend_ids: list[int] = []  # the backends of `subset`
         self.start = 0  # the place of the first of them
         self.serial = 0
         self.staged: dict[int, Record] | None = None  # of a whole list, what has come of it
@@ -115,7 +115,7 @@
 
     # ---- the list ----
 
-    def take(self, event: EndpointUpdate) -> None:
+    def apply(self, event: EndpointUpdate) -> None:
         """Take in changes, or one part of a whole list; drains are in force at once, even of a part."""
         if event.kind is UpdateKind.DELTA:
             self.staged = None  # of a whole list that broke off
@@ -176,8 +176,8 @@
                 if backend in staged and staged[backend][-1]:
                     self._enter(backend, staged[backend])
         else:
-            for backend in [b for b in self.slice if b not in staged]:
-                self._drop(self.slice.index(backend))
+            for backend in [b for b in self.backend_ids if b not in staged]:
+                self._drop(self.backend_ids.index(backend))
             self._build()
 
     # ---- the order and the slice ----
@@ -189,7 +189,7 @@
         if not self.order.add(backend, record):
             return
         place = self.order.place(backend)
-        if self.start < place < self.start + len(self.slice):
+        if self.start < place < self.start + len(self.backend_ids):
             self._put(place - self.start, backend)
         elif place <= self.start:
             self.start += 1
@@ -197,23 +197,23 @@
     def _leave(self, backend: int, record: Record) -> None:
         if self.building is not None:
             self.building.discard(backend, record)
-            if backend in self.slice:
-                self._drop(self.slice.index(backend))
+            if backend in self.backend_ids:
+                self._drop(self.backend_ids.index(backend))
             return
         place = self.order.discard(backend, record)
         if place is None:
             return
         if place < self.start:
             self.start -= 1
-        elif place < self.start + len(self.slice):
+        elif place < self.start + len(self.backend_ids):
             self._drop(place - self.start)
 
     def _put(self, at: int, backend: int) -> None:
-        self.slice.insert(at, backend)
-        self.subset.insert(at, self.use(self.entry(backend)))
+        self.backend_ids.insert(at, backend)
+        self.backends.insert(at, self.use(self.entry(backend)))
 
     def _drop(self, at: int) -> None:
-        del self.slice[at], self.subset[at]
+        del self.backend_ids[at], self.backends[at]
 
     def _part(self, ready: int) -> tuple[int | None, int, int]:
         """The round that this gateway is in, with so many ready, and where its slice starts and ends."""
@@ -229,18 +229,18 @@
         turn, start, end = self._part(len(self.order))
         if turn != self.order.turn:
             return self._build()
-        if start >= self.start + len(self.slice) or end <= self.start:
-            self.start, self.slice, self.subset = start, [], []
+        if start >= self.start + len(self.backend_ids) or end <= self.start:
+            self.start, self.backend_ids, self.backends = start, [], []
         while self.start < start:
             self._drop(0)
             self.start += 1
         while self.start > start:
             self.start -= 1
             self._put(0, *self.order.between(self.start, self.start + 1))
-        while self.start + len(self.slice) > end:
+        while self.start + len(self.backend_ids) > end:
             self._drop(-1)
-        for backend in self.order.between(self.start + len(self.slice), end):
-            self._put(len(self.slice), backend)
+        for backend in self.order.between(self.start + len(self.backend_ids), end):
+            self._put(len(self.backend_ids), backend)
 
     def _build(self) -> None:
         """Begin another order of all that are listed; a short one is whole at once."""
@@ -248,9 +248,9 @@
         self.building = Order(self._part(ready)[0], self.order.by_cell)
         self.todo, self.done = list(self.listed), 0
         if len(self.todo) <= AT_ONCE:
-            self.step(AT_ONCE)
+            self.continue_rebuild(AT_ONCE)
 
-    def step(self, most: int = STEP) -> None:
+    def continue_rebuild(self, most: int = STEP) -> None:
         """Go on with what is being built, by so many backends; the slice changes once it is whole."""
         if self.building is None:
             return
@@ -265,10 +265,10 @@
         turn, self.start, end = self._part(len(self.order))
         if turn != self.order.turn:  # so many came or went meanwhile
             return self._build()
-        self.slice = self.order.between(self.start, end)
-        self.subset = [self.use(self.entry(backend)) for backend in self.slice]
+        self.backend_ids = self.order.between(self.start, end)
+        self.backends = [self.use(self.entry(backend)) for backend in self.backend_ids]
 
-    def others(self, chance: random.Random, cell: tuple[str, int] | None = None) -> list[Endpoint]:
+    def sample_outside(self, chance: random.Random, cell: tuple[str, int] | None = None) -> list[Endpoint]:
         """Ready backends for a request that none of the slice may serve.
 
         They are all; of a long list some by chance, or those of a cell if only such may serve it.
--- a/scale/hollow.py
+++ b/scale/hollow.py
@@ -23,9 +23,9 @@
 from gateway.network.backoff import Backoff
 from gateway.network.client_listener import ClientConnection, PendingReply, RequestParser
 from gateway.network.configuration import parse_config
-from gateway.network.counter_client import Counter
+from gateway.network.counter_client import CounterClient
 from gateway.network.dispatcher import Dispatcher
-from gateway.network.endpoint_watch import Discovery, backend_id_of
+from gateway.network.endpoint_watch import EndpointWatcher, backend_id_of
 from gateway.network.timers import TimerQueue
 from gateway.policy.events import Outcome, UpdateKind
 
@@ -41,7 +41,7 @@
 class Nowhere(BackendPool):
     """Pools that hold the list as ever, and end each attempt at once as served."""
 
-    def send(self, attempt: Attempt) -> None:
+    def start(self, attempt: Attempt) -> None:
         attempt.end(Outcome.OK)
 
 
@@ -54,12 +54,12 @@
         super().__init__(cast(ClientConnection, None))
         self.owner = owner
 
-    def answer(self, reply: bytes) -> None:
+    def complete(self, reply: bytes) -> None:
         if not self.answered:
             self.answered = True
             self.owner.served += reply.startswith(b"$")
 
-    def look(self) -> None:
+    def detect_disconnect(self) -> None:
         """No client stands behind it that could leave."""
 
 
@@ -75,21 +75,25 @@
         self.backends = Nowhere(
             loop,
             timers,
-            config.connect_timeout,
-            config.keepalive,
+            config.connect_timeout_ms,
+            config.keepalive_ms,
             settings.safety_rules.drain_grace_ms,
-            int(config.sockets * BACKEND_SHARE),
+            int(config.max_descriptors * BACKEND_SHARE),
             int(config.memory_mb * MEMORY_SHARE * 2**20),
         )
         self.counter = (
-            Counter(loop, timers, config.counter, settings.counter_timeout_ms) if config.counter else None
+            CounterClient(loop, timers, config.counter, settings.counter_timeout_ms)
+            if config.counter
+            else None
+        )
+        self.driver = Dispatcher(
+            settings, config.seed, timers, self.backends, self.counter, config.max_open_requests
         )
-        self.driver = Dispatcher(settings, config.seed, timers, self.backends, self.counter, config.max_open)
         self.terms = RequestParser(settings)
-        busy = Backoff(settings.gateway_count, config.ask_every / 1000, random.Random(config.seed))
+        busy = Backoff(settings.gateway_count, config.poll_interval_ms / 1000, random.Random(config.seed))
         soon = max(SOONEST_S, settings.safety_rules.drain_grace_ms / 1000 * GRACES)
         asked = settings.polls_endpoints
-        self.discovery = Discovery(config.discovery, None, self.heard, busy, asked, soon)
+        self.discovery = EndpointWatcher(config.discovery, None, self.heard, busy, asked, soon)
         self.calls: list[tuple[float, list[int]]] = []  # when a message had been taken, and its backends
         self.seen: dict[int, list[float]] = {}  # by backend, what of `calls` has been looked at
         self.ids = itertools.count(1)
@@ -97,7 +101,7 @@
         self.watch: asyncio.Task[None] | None = None
 
     def heard(self, *args: Any, **kwargs: Any) -> None:
-        self.driver.members(*args, **kwargs)
+        self.driver.on_endpoints(*args, **kwargs)
         if args[0] is UpdateKind.DELTA:
             self.messages += 1
             self.calls.append((time.monotonic(), [member.entry.backend_id for member in args[1]]))
@@ -111,7 +115,7 @@
     async def started(self) -> None:
         """Wait until the whole list has been read."""
         assert self.watch is not None
-        read = asyncio.get_running_loop().create_task(self.discovery.read.wait())
+        read = asyncio.get_running_loop().create_task(self.discovery.snapshot_received.wait())
         await asyncio.wait({read, self.watch}, return_when=asyncio.FIRST_COMPLETED)
         read.cancel()
         if self.watch.done():
@@ -137,7 +141,7 @@
         args = [b"API.READ", b"%016x" % customer, b"%016x" % next(self.ids)]
         command = self.terms.parse([*args, attributes(customers.spread, first)])
         self.given += 1
-        self.driver.on_command(command, Tally(self))
+        self.driver.on_request(command, Tally(self))
 
     def close(self) -> None:
         if self.watch is not None:
--- a/tests/network/test_backend_pool.py
+++ b/tests/network/test_backend_pool.py
@@ -87,7 +87,7 @@
         self.over = asyncio.Event()
         self.attempt = Attempt(backend, self.encode, now_ms() + wait, self.ended)
         self.body = body
-        pool.send(self.attempt)
+        pool.start(self.attempt)
 
     def encode(self, wait: int) -> bytes:
         return encode(*request(wait=wait, body=self.body))
@@ -353,8 +353,8 @@
             connection = tried.attempt.connection
             assert connection is not None
             closed: list[bool] = []
-            tried.attempt.ended = lambda *_: closed.append(connection.socket.fileno() == -1)
-            made.give_up(tried.attempt, Outcome.CANCELLED)
+            tried.attempt.on_end = lambda *_: closed.append(connection.socket.fileno() == -1)
+            made.abandon(tried.attempt, Outcome.CANCELLED)
             assert closed == [True]
             await until(lambda: server.ended)
 
@@ -406,7 +406,7 @@
         server = Backend()
         async with pool(server) as made:
             tried = Try(made)
-            made.give_up(tried.attempt, Outcome.TIMED_OUT)
+            made.abandon(tried.attempt, Outcome.TIMED_OUT)
             assert (await tried.result())[0] is Outcome.CONNECT_ERROR
 
     in_loop(scenario)
@@ -490,7 +490,7 @@
             made.sweep()
             assert not made.hosts
             assert (await Try(made, 7).result())[0] is Outcome.OK
-            made.keep({number: made.addresses[number] for number in range(7)})
+            made.replace_endpoints({number: made.addresses[number] for number in range(7)})
             assert (await Try(made, 9).result())[0] is Outcome.CONNECT_ERROR, "the whole list leaves it out"
             assert not made.hosts[7].idle and made.hosts[7].cutoff < float("inf"), "no more than its grace"
 
--- a/tests/network/test_counter_client.py
+++ b/tests/network/test_counter_client.py
@@ -9,7 +9,7 @@
 import pytest
 
 from gateway.network import counter_client as module
-from gateway.network.counter_client import Counter, read_answer
+from gateway.network.counter_client import CounterClient, read_answer
 from gateway.network.timers import TimerQueue
 from gateway.policy.events import Outcome
 from tests.support.loopback import LOCAL, Backend, Reply, World, in_loop, request, running, until
@@ -19,11 +19,11 @@
 
 
 class Calls:
-    def __init__(self, counter: Counter) -> None:
+    def __init__(self, counter: CounterClient) -> None:
         self.counter, self.endings = counter, list[Ending]()
 
     def add(self, name: str = "n", amount: float = 1.0) -> None:
-        self.counter.add(name, amount, 4000.0, lambda *ending: self.endings.append(ending))
+        self.counter.increment(name, amount, 4000.0, lambda *ending: self.endings.append(ending))
 
     async def ended(self, count: int) -> list[Ending]:
         await until(lambda: len(self.endings) >= count)
@@ -34,7 +34,7 @@
 async def calling(service: Service, wait: float = 2_000.0) -> AsyncIterator[Calls]:
     loop = asyncio.get_running_loop()
     await service.start()
-    counter = Counter(loop, TimerQueue(loop), (LOCAL, service.port), wait)
+    counter = CounterClient(loop, TimerQueue(loop), (LOCAL, service.port), wait)
     try:
         yield Calls(counter)
     finally:
@@ -190,7 +190,7 @@
         async with calling(old) as calls:
             calls.add("n")
             await until(lambda: old.got)
-            calls.counter.move((LOCAL, new.port))
+            calls.counter.move_to((LOCAL, new.port))
             calls.add("other")
             assert await calls.ended(1) == [("other", Outcome.OK, 222.0)]
             calls.add("n")
--- a/tests/network/test_dispatcher.py
+++ b/tests/network/test_dispatcher.py
@@ -34,7 +34,7 @@
         terms = settings(max_attempts=2, request_classes=(SAFE,))
         self.driver = Dispatcher(terms, 1, timers, self.backends, None, max_open)
         self.module = Module()
-        self.driver.gateway = self.module  # type: ignore[assignment]
+        self.driver.policy = self.module  # type: ignore[assignment]
         self.terms = RequestParser(self.driver.settings)
         server = ClientListener(loop, timers, self.driver, self.terms, 10, 1_000_000)
         self.near, self.far = socket.socketpair()
@@ -46,7 +46,7 @@
         slot.request = id.decode()
         self.connection.slots.append(slot)
         args = list(request(id, plan=BONUS.name.encode(), wait=wait))
-        self.driver.on_command(self.terms.parse(args), slot)
+        self.driver.on_request(self.terms.parse(args), slot)
         return slot
 
 
@@ -110,7 +110,7 @@
         scene.ask(b"r2")
         scene.module.answers[TimerFired] = [StartAttempt("r2", 7), StartAttempt("r1", 7)]
         scene.far.close()
-        scene.driver.give(TimerFired(TimerToken(TimerKind.REQUEST, "t")))
+        scene.driver.deliver(TimerFired(TimerToken(TimerKind.REQUEST, "t")))
         ended = scene.module.of(AttemptEnded)
         assert [
             (e.request_id, e.attempt_number, e.request_finished) for e in ended if isinstance(e, AttemptEnded)
--- a/tests/network/test_endings.py
+++ b/tests/network/test_endings.py
@@ -22,9 +22,9 @@
 from gateway.__main__ import serve
 from gateway.network import client_listener as clients
 from gateway.network.backend_pool import BackendPool
-from gateway.network.client_listener import ClientListener, Command, PendingReply, RequestParser
+from gateway.network.client_listener import ClientListener, ClientRequest, PendingReply, RequestParser
 from gateway.network.configuration import parse_config
-from gateway.network.counter_client import Counter as CounterClient
+from gateway.network.counter_client import CounterClient
 from gateway.network.dispatcher import Dispatcher
 from gateway.network.endpoint_watch import MOST_TRIES, backend_id_of
 from gateway.network.resp import MOST_TAKEN
@@ -75,12 +75,12 @@
     gone: list[str] = field(default_factory=list)
     reply: bytes = b""  # given to each at once
 
-    def on_command(self, command: Command, slot: PendingReply) -> None:
+    def on_request(self, command: ClientRequest, slot: PendingReply) -> None:
         self.slots[command.id] = slot
         if self.reply:
-            slot.answer(self.reply)
+            slot.complete(self.reply)
 
-    def on_client_gone(self, request: str) -> None:
+    def on_client_disconnected(self, request: str) -> None:
         self.gone.append(request)
 
 
@@ -92,7 +92,7 @@
     server = ClientListener(loop, TimerQueue(loop), holder, TERMS, most, memory)
     port = server.listen(LOCAL, 0)
     yield server, holder, port
-    server.drain()
+    server.begin_shutdown()
     for connection in list(server.connections):
         connection.close()
 
@@ -108,10 +108,10 @@
     driver = Dispatcher(
         settings(gateway_count=1, request_classes=(VIEW,)), 1, timers, backends, counter, most
     )
-    driver.gateway = module  # type: ignore[assignment]
+    driver.policy = module  # type: ignore[assignment]
     server = ClientListener(loop, timers, driver, TERMS, most, 1_000_000)
     yield driver, module, server, server.listen(LOCAL, 0)
-    server.drain()
+    server.begin_shutdown()
     server.close()
     backends.close()
 
@@ -138,7 +138,7 @@
             await until(lambda: not server.connections)
             assert sorted(holder.gone) == sorted(holder.slots)
             for slot in list(holder.slots.values()):  # what was read ahead is not taken any more
-                slot.answer(b"+late\r\n")
+                slot.complete(b"+late\r\n")
             assert len(holder.slots) == clients.MOST_WAITING
 
     in_loop(scenario)
@@ -186,7 +186,7 @@
             assert most < connection.reader.held == server.ahead <= most + clients.READ_BYTES
             for id in ids:  # and all of it is answered once there is room
                 await until(lambda id=id: id.decode() in holder.slots)  # type: ignore[misc]
-                holder.slots[id.decode()].answer(encode(id))
+                holder.slots[id.decode()].complete(encode(id))
             assert [await peer.receive() for _ in ids] == [[id] for id in ids]
             assert server.ahead == 0
 
@@ -213,7 +213,7 @@
             def seen() -> bool:
                 if seen_by == "a look":
                     for slot in slots:
-                        slot.look()
+                        slot.detect_disconnect()
                 return len(server.connections) == 1
 
             async with asyncio.timeout(5):
@@ -237,7 +237,7 @@
             holder.reply = b"-BUSY\r\n"
             (connection,) = server.connections
             for slot in list(holder.slots.values()):
-                slot.answer(b"-BUSY\r\n")
+                slot.complete(b"-BUSY\r\n")
             await until(lambda: len(holder.slots) == count and server.ahead == 0)
             assert sys.getsizeof(connection.reader._buffer) < 2 * (MOST_TAKEN + clients.READ_BYTES)
 
@@ -469,9 +469,9 @@
                 else:
                     for id in ids:
                         told = functools.partial(
-                            driver.give, TimerFired(TimerToken(TimerKind.REQUEST, id.decode()))
+                            driver.deliver, TimerFired(TimerToken(TimerKind.REQUEST, id.decode()))
                         )
-                        driver.timers.at(now_ms(), told)
+                        driver.timers.call_at(now_ms(), told)
                 for leaver in leavers:
                     leaver.close()
                 time.sleep(HELD_UP_S)
@@ -551,15 +551,15 @@
             ids = [b"%03d" % number for number in range(2 * clients.TAKEN_AT_ONCE)]
             waiting = [knock(port, encode(*request(id))) for id in ids]
             assert not server.connections
-            server.drain()
+            server.begin_shutdown()
             await until(lambda: len(holder.slots) == len(ids))
             for id, slot in holder.slots.items():
-                slot.answer(encode(id.encode()))
+                slot.complete(encode(id.encode()))
             for id, far in zip(ids, waiting, strict=True):
                 peer = await heard(far)
                 assert await peer.receive() == [id]
                 assert await peer.receive() is None  # and then it is closed
-            await server.empty.wait()
+            await server.all_closed.wait()
 
     in_loop(scenario)
 
@@ -568,11 +568,11 @@
     async def scenario() -> None:
         async with served() as (server, holder, port):
             late, silent = knock(port), knock(port)
-            server.drain()
+            server.begin_shutdown()
             assert len(server.connections) == 2
             late.sendall(encode(*request(b"late")))
             await until(lambda: "late" in holder.slots)
-            holder.slots["late"].answer(encode(b"yes"))
+            holder.slots["late"].complete(encode(b"yes"))
             assert await (await heard(late)).receive() == [b"yes"]
             assert await (await heard(silent)).receive() is None
 
@@ -589,13 +589,13 @@
             peer = await connect(port)
             peer.writer.write(ahead + command[:-20])
             await until(lambda: any(c.reader.held for c in server.connections))
-            server.drain()
+            server.begin_shutdown()
             if ahead:
-                holder.slots["first"].answer(encode(b"yes"))
+                holder.slots["first"].complete(encode(b"yes"))
                 assert await peer.receive() == [b"yes"]
             peer.writer.write(command[-20:])
             await until(lambda: "second" in holder.slots)
-            holder.slots["second"].answer(encode(b"too"))
+            holder.slots["second"].complete(encode(b"too"))
             assert await peer.receive() == [b"too"]
             assert await peer.receive() is None
 
@@ -607,11 +607,11 @@
         async with served() as (server, holder, port):
             far = knock(port, encode(*request(b"first")))
             await until(lambda: holder.slots)
-            server.drain()
+            server.begin_shutdown()
             far.sendall(encode(*request(b"second")))  # is with the kernel as the first is answered
-            holder.slots["first"].answer(encode(b"yes"))
+            holder.slots["first"].complete(encode(b"yes"))
             assert "second" in holder.slots
-            holder.slots["second"].answer(encode(b"too"))
+            holder.slots["second"].complete(encode(b"too"))
             peer = await heard(far)
             assert [await peer.receive() for _ in range(3)] == [[b"yes"], [b"too"], None]
 
@@ -764,7 +764,7 @@
             await watch.watched(1)
             silent = Agent()
             await silent.start()
-            watch.client.move((LOCAL, silent.port))
+            watch.client.move_to((LOCAL, silent.port))
             await until(lambda: silent.calls)
             watch.service.change(42, host("h0", 1, "draining"))
             await until(lambda: watch.heard)
@@ -862,7 +862,7 @@
 
 def test_a_close_that_crosses_a_send_may_have_run(monkeypatch: pytest.MonkeyPatch) -> None:
     """The backend's close is on its way as the request is written: nobody here can know yet."""
-    monkeypatch.setattr("gateway.network.backend_pool.Connection.alive", lambda connection: True)
+    monkeypatch.setattr("gateway.network.backend_pool.BackendConnection.alive", lambda connection: True)
 
     async def scenario() -> None:
         raw = Raw()
@@ -892,8 +892,8 @@
             tried = Try(made)
             near = await raw.taken(1)
             near.sendall(ANSWER)
-            made.give_up(tried.attempt, Outcome.TIMED_OUT)
-            made.give_up(tried.attempt, Outcome.CANCELLED)
+            made.abandon(tried.attempt, Outcome.TIMED_OUT)
+            made.abandon(tried.attempt, Outcome.CANCELLED)
             assert tried.endings == [(Outcome.TIMED_OUT, b"")] and not made.connections
             again = Try(made)  # on a connection of its own: the old answer is not its
             near = await raw.taken(1)
--- a/tests/network/test_endpoint_watch.py
+++ b/tests/network/test_endpoint_watch.py
@@ -12,7 +12,12 @@
 
 from gateway.network import endpoint_watch as module
 from gateway.network.backoff import Backoff
-from gateway.network.endpoint_watch import EndpointListError, Member, backend_id_of, parse_endpoint_list
+from gateway.network.endpoint_watch import (
+    EndpointListError,
+    ListedEndpoint,
+    backend_id_of,
+    parse_endpoint_list,
+)
 from gateway.policy import GatewayPolicy
 from gateway.policy.events import EndpointState, EndpointUpdate, UpdateKind
 from tests.support.loopback import LOCAL, Backend, Discovery, Watch, World, host, in_loop, running, until
@@ -91,7 +96,7 @@
             take, faults = watch.take, [RuntimeError("not now")]
 
             def faulty(
-                scope: UpdateKind, members: tuple[Member, ...], first: bool = True, last: bool = True
+                scope: UpdateKind, members: tuple[ListedEndpoint, ...], first: bool = True, last: bool = True
             ) -> None:
                 if faults:
                     raise faults.pop()
@@ -153,7 +158,7 @@
                 new = Discovery()
                 new.whole = {"seq": 7, "whole": True, "hosts": [host(f"h{turn}", 1)]}
                 await new.start()
-                watch.client.move((LOCAL, new.port))
+                watch.client.move_to((LOCAL, new.port))
                 await until(lambda: new.watches)  # noqa: B023
                 assert new.requests == ["/catalog/members", "/catalog/members?stream=1&index=7"]
                 assert watch.heard[-1] == (
@@ -176,7 +181,7 @@
             watch.service.hang_up()
             await until(lambda: not watch.service.open)
             monkeypatch.setattr(module, "BACKOFF_S", (0.0, 0.0))
-            watch.client.move((LOCAL, watch.service.port))
+            watch.client.move_to((LOCAL, watch.service.port))
             await watch.watched(2)
 
     in_loop(scenario)
@@ -227,7 +232,7 @@
             turns = 0
 
             def take(
-                scope: UpdateKind, members: tuple[Member, ...], first: bool = True, last: bool = True
+                scope: UpdateKind, members: tuple[ListedEndpoint, ...], first: bool = True, last: bool = True
             ) -> None:
                 assert scope is UpdateKind.SNAPSHOT
                 parts.append((len(members), first, last))
@@ -236,7 +241,7 @@
             watch.client.listener = take
             listed = long_list(7)
             watch.service.whole = {name: listed[name] for name in order}
-            while not watch.client.read.is_set():
+            while not watch.client.snapshot_received.is_set():
                 await asyncio.sleep(0)
                 turns += 1
             assert sum(count for count, _, _ in parts) == LONG
@@ -255,7 +260,7 @@
             turns, at = 0, Tally[int]()
 
             def take(
-                scope: UpdateKind, members: tuple[Member, ...], first: bool = True, last: bool = True
+                scope: UpdateKind, members: tuple[ListedEndpoint, ...], first: bool = True, last: bool = True
             ) -> None:
                 at[turns] += len(members)
 
@@ -279,7 +284,7 @@
             lasts = []
 
             def take(
-                scope: UpdateKind, members: tuple[Member, ...], first: bool = True, last: bool = True
+                scope: UpdateKind, members: tuple[ListedEndpoint, ...], first: bool = True, last: bool = True
             ) -> None:
                 lasts.append(last)
                 gateway.handle(1.0, EndpointUpdate(scope, tuple(m.entry for m in members), first, last))
--- a/tests/network/test_notification_bound.py
+++ b/tests/network/test_notification_bound.py
@@ -67,7 +67,7 @@
         await reader.read()
 
 
-Trouble = Callable[[Service, module.Discovery], Awaitable[float]]
+Trouble = Callable[[Service, module.EndpointWatcher], Awaitable[float]]
 
 
 async def failing(service: Service, mode: str, calls: int) -> None:
@@ -78,40 +78,40 @@
         await service.next_call()
 
 
-async def refused_again_and_again(service: Service, _: module.Discovery) -> float:
+async def refused_again_and_again(service: Service, _: module.EndpointWatcher) -> float:
     await failing(service, "refuse", 5)
     service.mode = "serve"
     return service.learn()
 
 
-async def refused_once_more_since(service: Service, client: module.Discovery) -> float:
+async def refused_once_more_since(service: Service, client: module.EndpointWatcher) -> float:
     service.refusals = 1
     return await refused_again_and_again(service, client)
 
 
-async def a_call_open_and_silent(service: Service, _: module.Discovery, calls: int = 1) -> float:
+async def a_call_open_and_silent(service: Service, _: module.EndpointWatcher, calls: int = 1) -> float:
     await failing(service, "silent", calls)
     service.mode = "serve"
     return service.learn()
 
 
-async def calls_silent_again_and_again(service: Service, client: module.Discovery) -> float:
+async def calls_silent_again_and_again(service: Service, client: module.EndpointWatcher) -> float:
     return await a_call_open_and_silent(service, client, 5)
 
 
-async def the_open_watch_fallen_silent(service: Service, _: module.Discovery) -> float:
+async def the_open_watch_fallen_silent(service: Service, _: module.EndpointWatcher) -> float:
     service.beat.clear()
     await service.beat.wait()
     service.silenced.extend(service.watches)
     return service.learn()
 
 
-async def a_refusal_after_the_silence(service: Service, client: module.Discovery) -> float:
+async def a_refusal_after_the_silence(service: Service, client: module.EndpointWatcher) -> float:
     service.refusals = 1
     return await the_open_watch_fallen_silent(service, client)
 
 
-async def connections_that_do_not_come_up(service: Service, client: module.Discovery) -> float:
+async def connections_that_do_not_come_up(service: Service, client: module.EndpointWatcher) -> float:
     connect, knocked = asyncio.open_connection, asyncio.Event()
 
     async def lost(*_: object) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
@@ -130,22 +130,22 @@
     return service.learn()
 
 
-async def a_new_address_amid_refusals(service: Service, client: module.Discovery) -> float:
+async def a_new_address_amid_refusals(service: Service, client: module.EndpointWatcher) -> float:
     await failing(service, "refuse", 3)
     other = Service(service.answer_s)
     await other.start()
     at = other.learn()
-    client.move((LOCAL, other.port))
+    client.move_to((LOCAL, other.port))
     return at
 
 
-async def a_new_address_that_refuses(service: Service, client: module.Discovery) -> float:
+async def a_new_address_that_refuses(service: Service, client: module.EndpointWatcher) -> float:
     await failing(service, "silent", 1)
     other = Service(service.answer_s)
     other.refusals = 1
     await other.start()
     at = other.learn()
-    client.move((LOCAL, other.port))
+    client.move_to((LOCAL, other.port))
     return at
 
 
@@ -177,7 +177,10 @@
             drain_told = asyncio.Event()
 
             def take(
-                scope: UpdateKind, members: tuple[module.Member, ...], first: bool = True, last: bool = True
+                scope: UpdateKind,
+                members: tuple[module.ListedEndpoint, ...],
+                first: bool = True,
+                last: bool = True,
             ) -> None:
                 if any(member.entry.state is EndpointState.DRAINING for member in members):
                     drain_told.set()
--- a/tests/network/test_process.py
+++ b/tests/network/test_process.py
@@ -256,7 +256,7 @@
         }
     )
     assert config.settings.gateway_index == 2 and config.settings.max_attempts == 4
-    assert (config.keepalive, config.seed, config.counter) == (9000.0, 255, None)
+    assert (config.keepalive_ms, config.seed, config.counter) == (9000.0, 255, None)
     with pytest.raises(ConfigError):
         parse_config({"listen": "10.0.0.4:6379", "discovery": "x", "settings": {}})
 
@@ -284,7 +284,7 @@
         waits = [3.4, 0.6, 2.5, 0.0, 7.7, 1.49]
         for wait in waits:
             place, due = waits.index(wait), start + wait
-            timers.at(due, lambda place=place, due=due: fire(place, due))  # type: ignore[misc]
+            timers.call_at(due, lambda place=place, due=due: fire(place, due))  # type: ignore[misc]
         await until(lambda: len(fired) == len(waits))
         assert fired == [3, 1, 5, 2, 0, 4] and max(early) <= 0
 
@@ -296,8 +296,8 @@
         timers = clock.TimerQueue(asyncio.get_running_loop())
         fired: list[str] = []
         start = clock.now_ms()
-        timers.at(start + 5, lambda: fired.append("cancelled")).cancel()
-        timers.at(start + 10, lambda: fired.append("kept"))
+        timers.call_at(start + 5, lambda: fired.append("cancelled")).cancel()
+        timers.call_at(start + 10, lambda: fired.append("kept"))
         await until(lambda: fired)
         assert fired == ["kept"] and not timers._heap
 
--- a/tests/policy/test_subsetting.py
+++ b/tests/policy/test_subsetting.py
@@ -22,7 +22,7 @@
     UpdateKind,
 )
 from gateway.policy.policy import DRAWN, KEPT, Backend, GatewayPolicy, Request
-from gateway.policy.subsetting import AT_ONCE, COVER, STEP, SUBSET, Membership, Order
+from gateway.policy.subsetting import AT_ONCE, COVER, STEP, SUBSET, EndpointSubset, Order
 from gateway.policy.timers import TimerKind, TimerToken
 from tests.support.policy_harness import KEYED, RULES, SAFE, World, entry, sends, settings
 
@@ -56,21 +56,21 @@
         return ready[len(ready) * place // places : len(ready) * (place + 1) // places]
 
 
-def members(index: int = 0, gateways: int = 1, by_cell: bool = False) -> Membership[int]:
-    return Membership(index, gateways, lambda e: e.backend_id, by_cell)
+def members(index: int = 0, gateways: int = 1, by_cell: bool = False) -> EndpointSubset[int]:
+    return EndpointSubset(index, gateways, lambda e: e.backend_id, by_cell)
 
 
-def tell(m: Membership[int], scope: UpdateKind, entries: list[Endpoint], parts: int = 1) -> None:
+def tell(m: EndpointSubset[int], scope: UpdateKind, entries: list[Endpoint], parts: int = 1) -> None:
     size = max(1, math.ceil(len(entries) / parts))
     cuts = range(0, max(1, len(entries)), size)
     for at in cuts:
         first, last = at == 0, at == cuts[-1]
-        m.take(EndpointUpdate(scope, tuple(entries[at : at + size]), first, last))
+        m.apply(EndpointUpdate(scope, tuple(entries[at : at + size]), first, last))
 
 
-def whole(m: Membership[int]) -> None:
+def whole(m: EndpointSubset[int]) -> None:
     while m.building is not None:
-        m.step()
+        m.continue_rebuild()
 
 
 def some(ids: range, cells: int = 5) -> list[Endpoint]:
@@ -121,11 +121,11 @@
             if chance.random() < 0.7:
                 whole(kept)
             if kept.building is None:
-                assert kept.subset == kept.slice == plain.slice()
-            assert set(kept.slice) <= {i for i, e in plain.listed.items() if e.state is READY}
+                assert kept.backends == kept.backend_ids == plain.slice()
+            assert set(kept.backend_ids) <= {i for i, e in plain.listed.items() if e.state is READY}
             assert kept.listed.keys() == plain.listed.keys()
         whole(kept)
-        assert kept.subset == plain.slice()
+        assert kept.backends == plain.slice()
         of_cells = {i for cell in kept.order.cells.values() for i in cell}
         assert of_cells == (set(kept.order.keys) if seed % 2 == 0 else set())
 
@@ -166,10 +166,10 @@
         used["used"] += 1
         return e.backend_id
 
-    m, chance = Membership(1_234, 3_700, use), random.Random(count)
+    m, chance = EndpointSubset(1_234, 3_700, use), random.Random(count)
     tell(m, UpdateKind.SNAPSHOT, some(range(count)), parts=20)
     whole(m)
-    assert len(m.slice) == len(m.subset) > 0
+    assert len(m.backend_ids) == len(m.backends) > 0
     seen.clear()
     used.clear()
     Key.compared, changes = 0, 300
@@ -197,13 +197,13 @@
         tell_part = EndpointUpdate(
             UpdateKind.SNAPSHOT, tuple(entries[at : at + 64]), at == 0, at + 64 >= len(entries)
         )
-        m.take(tell_part)
+        m.apply(tell_part)
         assert work["hashed"] == before, "and none of it before all is known"
     assert m.building is not None
     turns = 0
     while m.building is not None:
         before = work["hashed"]
-        m.step()
+        m.continue_rebuild()
         turns += 1
         assert work["hashed"] - before <= STEP
     assert work["hashed"] == 20_000 and turns == math.ceil(20_000 / STEP)
@@ -212,27 +212,27 @@
     assert m.building is None and not work["hashed"], "a list that hardly differs costs by the difference"
     plain = Plain(1_234, 3_700)
     plain.take(UpdateKind.SNAPSHOT, entries[:-3])
-    assert m.subset == plain.slice()
+    assert m.backends == plain.slice()
 
 
 def test_drains_in_a_part_are_in_force_at_once_and_what_is_new_with_the_last() -> None:
     m = members()
     tell(m, UpdateKind.SNAPSHOT, some(range(9)))
     drained = [entry(i, DRAINING) for i in range(4)]
-    m.take(EndpointUpdate(UpdateKind.SNAPSHOT, (*drained, entry(20)), True, False))
-    assert m.subset == [4, 5, 6, 7, 8]
-    m.take(EndpointUpdate(UpdateKind.SNAPSHOT, (entry(4), entry(21)), False, True))
-    assert m.subset == [4, 20, 21]
+    m.apply(EndpointUpdate(UpdateKind.SNAPSHOT, (*drained, entry(20)), True, False))
+    assert m.backends == [4, 5, 6, 7, 8]
+    m.apply(EndpointUpdate(UpdateKind.SNAPSHOT, (entry(4), entry(21)), False, True))
+    assert m.backends == [4, 20, 21]
 
 
 @pytest.mark.parametrize("then", [UpdateKind.DELTA, UpdateKind.SNAPSHOT])
 def test_of_a_list_that_breaks_off_nothing_new_is_used(then: UpdateKind) -> None:
     m = members()
     tell(m, UpdateKind.SNAPSHOT, some(range(3)))
-    m.take(EndpointUpdate(UpdateKind.SNAPSHOT, (entry(0), entry(7)), True, False))
+    m.apply(EndpointUpdate(UpdateKind.SNAPSHOT, (entry(0), entry(7)), True, False))
     tell(m, then, some(range(1, 4)))
-    m.take(EndpointUpdate(UpdateKind.SNAPSHOT, (entry(8),), False, True))  # the rest comes too late
-    assert m.subset == ([0, 1, 2, 3] if then is UpdateKind.DELTA else [1, 2, 3])
+    m.apply(EndpointUpdate(UpdateKind.SNAPSHOT, (entry(8),), False, True))  # the rest comes too late
+    assert m.backends == ([0, 1, 2, 3] if then is UpdateKind.DELTA else [1, 2, 3])
 
 
 def test_changes_amid_the_steps_are_in_force() -> None:
@@ -245,30 +245,30 @@
         changes = [entry(chance.randrange(6_000), chance.choice((READY, DRAINING, GONE))) for _ in range(20)]
         tell(m, UpdateKind.DELTA, changes)
         plain.take(UpdateKind.DELTA, changes)
-        m.step()
-        assert set(m.subset) <= {i for i, e in plain.listed.items() if e.state is READY}
-    assert m.subset == plain.slice()
+        m.continue_rebuild()
+        assert set(m.backends) <= {i for i, e in plain.listed.items() if e.state is READY}
+    assert m.backends == plain.slice()
 
 
 def test_a_list_replaced_as_a_whole_leaves_none_of_the_old_in_use() -> None:
     m = members(5, 3_700)
     tell(m, UpdateKind.SNAPSHOT, some(range(5_000)), parts=9)
     whole(m)
-    assert m.subset
+    assert m.backends
     tell(m, UpdateKind.SNAPSHOT, some(range(5_000, 10_000)), parts=9)
-    assert not m.subset and m.building is not None
-    assert all(e.backend_id >= 5_000 for e in m.others(random.Random(1)))
+    assert not m.backends and m.building is not None
+    assert all(e.backend_id >= 5_000 for e in m.sample_outside(random.Random(1)))
     whole(m)
-    assert m.subset and min(m.subset) >= 5_000
+    assert m.backends and min(m.backends) >= 5_000
 
 
 def test_beyond_the_slice_of_a_long_list_a_cell_or_some_by_chance_are_found() -> None:
     m = members(5, 3_700, by_cell=True)
     tell(m, UpdateKind.SNAPSHOT, some(range(9_000), cells=300))
     whole(m)
-    found = {e.backend_id for e in m.others(random.Random(1), ("a", 7))}
+    found = {e.backend_id for e in m.sample_outside(random.Random(1), ("a", 7))}
     assert found == set(range(7, 9_000, 300))
-    drawn = [{e.backend_id for e in m.others(random.Random(seed))} for seed in range(2)]
+    drawn = [{e.backend_id for e in m.sample_outside(random.Random(seed))} for seed in range(2)]
     assert all(len(d) == AT_ONCE for d in drawn) and drawn[0] != drawn[1]
 
 
--- a/tests/support/loopback.py
+++ b/tests/support/loopback.py
@@ -15,8 +15,7 @@
 from gateway.__main__ import serve
 from gateway.network.backoff import Backoff
 from gateway.network.configuration import parse_config
-from gateway.network.endpoint_watch import BACKOFF_S, Member
-from gateway.network.endpoint_watch import Discovery as DiscoveryClient
+from gateway.network.endpoint_watch import BACKOFF_S, EndpointWatcher, ListedEndpoint
 from gateway.policy.events import EndpointState, UpdateKind
 
 LOCAL = "127.0.0.1"
@@ -239,7 +238,7 @@
         self.again = again
 
     def take(
-        self, scope: UpdateKind, members: tuple[Member, ...], first: bool = True, last: bool = True
+        self, scope: UpdateKind, members: tuple[ListedEndpoint, ...], first: bool = True, last: bool = True
     ) -> None:
         self.heard.append((scope, [(m.entry.backend_id, m.entry.state) for m in members]))
 
@@ -247,7 +246,7 @@
         await self.service.start()
         address = (LOCAL, self.service.port)
         busy = Backoff(2, 10.0, random.Random(1))
-        self.client = DiscoveryClient(address, self.version, self.take, busy, again=self.again)
+        self.client = EndpointWatcher(address, self.version, self.take, busy, again=self.again)
         self.task = asyncio.create_task(self.client.run())
         return self
 
