Split the counter client by concern and name the dispatcher's state and steps

The counter client held wire format, calls, connections and channels in one module with private words, strings for reasons and bare tuples; the dispatcher matched every action in one method.

The connections to an earlier address belong to their channel. Dispatcher: OpenRequest, named replies, one short method an action, collaborators by keyword. The endpoint listener's parameters are positional-only, so that an implementation may name them. Decisions and wire formats are as before.

--- a/gateway/__main__.py
+++ b/gateway/__main__.py
@@ -128,7 +128,14 @@
         if config.counter
         else None
     )
-    driver = Dispatcher(config.settings, config.seed, timers, backends, counter, config.max_open_requests)
+    driver = Dispatcher(
+        config.settings,
+        seed=config.seed,
+        timers=timers,
+        backends=backends,
+        counter=counter,
+        max_open_requests=config.max_open_requests,
+    )
 
     asked, version = config.settings.polls_endpoints, None
     if config.cached_endpoints:
@@ -179,7 +186,7 @@
         async with asyncio.timeout_at(started + last):
             await server.all_closed.wait()
     except TimeoutError:
-        log.warning("%d requests open at the end", len(driver.requests))
+        log.warning("%d requests open at the end", len(driver.open_requests))
         driver.fail_open_requests()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(CLOSING_S):
--- /dev/null
+++ b/gateway/network/counter_channel.py
@@ -0,0 +1,113 @@
+"""The calls whose names share a connection to the counter service."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from functools import partial
+
+from ..policy.events import Outcome
+from .configuration import Address
+from .counter_call import CounterCall
+from .counter_connection import CloseReason, CounterConnection
+from .counter_protocol import CounterResult
+
+
+class CounterChannel:
+    """Writes calls to one connection, so that responses for one name keep the order of its calls.
+
+    The connection is opened when a call needs it; calls of one turn of the event loop are written together.
+    """
+
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        address: Address,
+        connect_timeout_ms: float,
+        on_connection_failed: Callable[[CloseReason], None],
+    ) -> None:
+        """`on_connection_failed` is called for each connection that had to be closed by a fault."""
+        self.address = address
+        self.connection: CounterConnection | None = None
+        self.draining: set[CounterConnection] = set()
+        """Connections to earlier addresses that still owe responses."""
+        self.unwritten: list[CounterCall] = []
+        """Calls that wait for a connection, or for the end of this turn of the event loop."""
+        self.connecting: asyncio.Task[None] | None = None
+        self.is_flush_scheduled = False
+        self._loop = loop
+        self._connect_timeout_ms = connect_timeout_ms
+        self._on_connection_failed = on_connection_failed
+
+    def add(self, call: CounterCall) -> None:
+        """Write a call at the end of this turn of the event loop, or once there is a connection."""
+        self.unwritten.append(call)
+        if not self.is_flush_scheduled:
+            self.is_flush_scheduled = True
+            self._loop.call_soon(self._flush)
+
+    def expire(self, call: CounterCall) -> None:
+        """End a call whose time is over: only one that was written may have been added."""
+        is_written = call not in self.unwritten
+        call.complete(CounterResult(Outcome.TIMED_OUT if is_written else Outcome.CONNECT_ERROR))
+
+    def move_to(self, address: Address) -> None:
+        """Use another address; responses that the old one owes are still read, unwritten calls move on."""
+        self.address = address
+        if self.connecting is not None:
+            self.connecting.cancel()
+            self.connecting = None
+        if self.connection is not None and not self.connection.is_closed:
+            if self.connection.unanswered:
+                self.draining.add(self.connection)
+            else:
+                self.connection.close()
+        self.connection = None
+        self._flush()
+
+    def close(self) -> None:
+        """Close the connection to the current address; calls that it has not answered time out."""
+        if self.connecting is not None:
+            self.connecting.cancel()
+        if self.connection is not None:
+            self.connection.close()
+
+    def close_draining(self) -> None:
+        """Close the connections to earlier addresses; calls that they have not answered time out."""
+        for connection in list(self.draining):
+            connection.close()
+
+    def _flush(self) -> None:
+        self.is_flush_scheduled = False
+        self.unwritten = [call for call in self.unwritten if call.result is None]
+        if not self.unwritten:
+            return
+        connection = self.connection
+        if connection is not None and not connection.is_closed:
+            connection.close_if_unusable()
+        if connection is None or connection.is_closed:
+            if self.connecting is None:
+                self.connecting = self._loop.create_task(self._connect())
+            return
+        calls = self.unwritten
+        self.unwritten = []
+        connection.write(calls)
+
+    async def _connect(self) -> None:
+        host, port = self.address
+        create = partial(CounterConnection, self._on_connection_failed, self.draining.discard)
+        try:
+            async with asyncio.timeout(self._connect_timeout_ms / 1000):
+                _, self.connection = await self._loop.create_connection(create, host, port)
+        except OSError:  # also TimeoutError
+            self._fail_unwritten()
+        finally:
+            self.connecting = None
+        self._flush()
+
+    def _fail_unwritten(self) -> None:
+        """End the calls that were never written: nothing was added."""
+        calls = self.unwritten
+        self.unwritten = []
+        for call in calls:
+            call.complete(CounterResult(Outcome.CONNECT_ERROR))
--- /dev/null
+++ b/gateway/network/counter_connection.py
@@ -0,0 +1,128 @@
+"""One connection to the counter service, with pipelined calls."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from enum import Enum
+from typing import cast
+
+from ..policy.events import Outcome
+from .counter_call import CounterCall
+from .counter_protocol import CounterResult, parse_response
+from .timers import now_ms
+
+SILENCE_TIMEOUT_MS = 300.0
+"""A connection with unanswered calls that has sent nothing for this long counts as lost."""
+
+IDLE_CLOSE_MS = 3_000.0
+"""A connection unused for this long is closed, before the counter closes it under a call."""
+
+MAX_UNANSWERED_CALLS = 1_000
+"""Calls written to one connection and not answered yet."""
+
+MAX_LINE_BYTES = 64
+"""Bytes of a response that is not complete yet; a total has seven digits."""
+
+
+class CloseReason(Enum):
+    """Why a connection was closed that could not be used any more, as the log words it."""
+
+    SILENT = "no response in time"
+    TOO_MANY_UNANSWERED = "too many unanswered calls"
+    UNSOLICITED_RESPONSE = "response without a call"
+    MALFORMED_RESPONSE = "malformed response"
+    LINE_TOO_LONG = "response line too long"
+
+
+class CounterConnection(asyncio.Protocol):
+    """Pipelined calls; each response belongs to the oldest unanswered call, however late it comes."""
+
+    def __init__(
+        self,
+        on_failed: Callable[[CloseReason], None],
+        on_lost: Callable[[CounterConnection], None],
+    ) -> None:
+        """`on_failed` is called before this connection closes by a fault, `on_lost` once it is closed."""
+        self.transport: asyncio.Transport | None = None
+        self.unanswered: deque[CounterCall] = deque()
+        self.is_closed = False
+        self.last_received_at = now_ms()
+        self.last_written_at = self.last_received_at
+        self._on_failed = on_failed
+        self._on_lost = on_lost
+        self._partial_line = b""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
+
+    def write(self, calls: list[CounterCall]) -> None:
+        """Write the calls, which expect their responses in this order."""
+        assert self.transport is not None
+        now = now_ms()
+        if not self.unanswered:
+            self.last_received_at = now
+        self.last_written_at = now
+        self.unanswered.extend(calls)
+        self.transport.write(b"".join(call.request_line for call in calls))
+
+    def close_if_unusable(self) -> None:
+        """Close a connection that has gone silent, is too far behind or was idle for too long."""
+        now = now_ms()
+        # The counter's machine may have vanished: such a connection stays open and silent for ever.
+        if self.unanswered and now - self.last_received_at > SILENCE_TIMEOUT_MS:
+            self.fail(CloseReason.SILENT)
+        elif len(self.unanswered) >= MAX_UNANSWERED_CALLS:
+            self.fail(CloseReason.TOO_MANY_UNANSWERED)
+        elif not self.unanswered and now - self.last_written_at > IDLE_CLOSE_MS:
+            self.close()
+
+    def data_received(self, data: bytes) -> None:
+        """Complete the calls whose responses have arrived."""
+        self.last_received_at = now_ms()
+        *lines, self._partial_line = (self._partial_line + data).split(b"\n")
+        for line in lines:
+            if self.is_closed:
+                return
+            if not self.unanswered:
+                self.fail(CloseReason.UNSOLICITED_RESPONSE)
+                return
+            result = parse_response(line)
+            if result is None:
+                # Neither this call's total nor whether the next line answers the next call is known.
+                self.fail(CloseReason.MALFORMED_RESPONSE)
+                return
+            # A late response belongs to its own call, which has timed out, and not to the next one.
+            self.unanswered.popleft().complete(result)
+        if len(self._partial_line) > MAX_LINE_BYTES:
+            self.fail(CloseReason.LINE_TOO_LONG)
+
+    def fail(self, reason: CloseReason) -> None:
+        """Close a connection that cannot be used any more, and report the reason."""
+        if self.is_closed:
+            return
+        self._on_failed(reason)
+        self.close()
+
+    def close(self) -> None:
+        """Close at once; the unanswered calls time out."""
+        if self.is_closed:
+            return
+        self.is_closed = True
+        if self.transport is not None:
+            self.transport.abort()
+        self._time_out_unanswered()
+
+    def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002 - asyncio's signature
+        """Time out the calls that a connection closed by the counter leaves unanswered."""
+        self.is_closed = True
+        self._on_lost(self)
+        self._time_out_unanswered()
+
+    def _time_out_unanswered(self) -> None:
+        calls = self.unanswered
+        self.unanswered = deque()
+        for call in calls:
+            call.complete(CounterResult(Outcome.TIMED_OUT))  # its amount may have been added
--- a/gateway/network/endpoint_watch.py
+++ b/gateway/network/endpoint_watch.py
@@ -57,7 +57,12 @@
 
 class EndpointListener(Protocol):
     def __call__(
-        self, scope: UpdateKind, members: tuple[ListedEndpoint, ...], first: bool = True, last: bool = True
+        self,
+        scope: UpdateKind,
+        members: tuple[ListedEndpoint, ...],
+        first: bool = True,
+        last: bool = True,
+        /,
     ) -> None:
         """Take changes, or one part of a whole list."""
 
--- a/scale/hollow.py
+++ b/scale/hollow.py
@@ -87,7 +87,12 @@
             else None
         )
         self.driver = Dispatcher(
-            settings, config.seed, timers, self.backends, self.counter, config.max_open_requests
+            settings,
+            seed=config.seed,
+            timers=timers,
+            backends=self.backends,
+            counter=self.counter,
+            max_open_requests=config.max_open_requests,
         )
         self.terms = RequestParser(settings)
         busy = Backoff(settings.gateway_count, config.poll_interval_ms / 1000, random.Random(config.seed))
--- a/tests/network/test_counter_client.py
+++ b/tests/network/test_counter_client.py
@@ -8,8 +8,9 @@
 
 import pytest
 
-from gateway.network import counter_client as module
-from gateway.network.counter_client import CounterClient, read_answer
+from gateway.network import counter_connection
+from gateway.network.counter_client import CounterClient
+from gateway.network.counter_protocol import parse_response
 from gateway.network.timers import TimerQueue
 from gateway.policy.events import Outcome
 from tests.support.loopback import LOCAL, Backend, Reply, World, in_loop, request, running, until
@@ -98,7 +99,8 @@
             calls.add()
             assert await calls.ended(1) == [("n", Outcome.CONNECT_ERROR, 0.0)]
             await service.start()
-            calls.counter.address = (LOCAL, service.port)
+            for channel in calls.counter.channels:
+                channel.address = (LOCAL, service.port)
             calls.add()
             assert (await calls.ended(2))[1:] == [("n", Outcome.OK, 1.0)]
 
@@ -119,7 +121,7 @@
 
 def test_a_connection_that_owes_and_stays_silent_is_left(monkeypatch: pytest.MonkeyPatch) -> None:
     """After the counter's machine vanished, its connections stay open and say nothing for ever."""
-    monkeypatch.setattr(module, "SILENT_MS", 50.0)
+    monkeypatch.setattr(counter_connection, "SILENCE_TIMEOUT_MS", 50.0)
 
     async def scenario() -> None:
         silent = True
@@ -151,7 +153,7 @@
     ],
 )
 def test_answers(line: bytes, ending: tuple[Outcome, float] | None) -> None:
-    assert read_answer(line) == ending
+    assert parse_response(line) == ending
 
 
 def test_an_answer_that_is_none_ends_its_connection() -> None:
@@ -163,7 +165,7 @@
 
         service = Service(script)
         async with calling(service) as calls:
-            calls.counter.lanes[1:] = [calls.counter.lanes[0]] * 3
+            calls.counter.channels[1:] = [calls.counter.channels[0]] * 3
             calls.add("spoilt")
             calls.add("behind")
             assert await calls.ended(2) == [(n, Outcome.TIMED_OUT, 0.0) for n in ("spoilt", "behind")]
@@ -198,9 +200,9 @@
             assert len(calls.endings) == 1  # told now, it would be taken for the older call's
             go_on.set()
             assert (await calls.ended(3))[1:] == [("n", Outcome.OK, 111.0), ("n", Outcome.OK, 222.0)]
-            assert not calls.counter.calls
+            assert not calls.counter.unreported_calls
             old.hang_up()
-            await until(lambda: not calls.counter.left)
+            await until(lambda: not any(channel.draining for channel in calls.counter.channels))
         await new.stop()
 
     in_loop(scenario)
--- a/tests/network/test_dispatcher.py
+++ b/tests/network/test_dispatcher.py
@@ -9,7 +9,7 @@
 
 from gateway.network.backend_pool import BackendPool
 from gateway.network.client_listener import ClientConnection, ClientListener, PendingReply, RequestParser
-from gateway.network.dispatcher import FAILED, Dispatcher
+from gateway.network.dispatcher import FAILED_REPLY, Dispatcher
 from gateway.network.timers import TimerQueue
 from gateway.policy.actions import IncrementCounter, Reject, StartAttempt
 from gateway.policy.events import (
@@ -32,7 +32,14 @@
         timers = TimerQueue(loop)
         self.backends = BackendPool(loop, timers, 250, 15_000, 1_000, 10, 1_000_000)
         terms = settings(max_attempts=2, request_classes=(SAFE,))
-        self.driver = Dispatcher(terms, 1, timers, self.backends, None, max_open)
+        self.driver = Dispatcher(
+            terms,
+            seed=1,
+            timers=timers,
+            backends=self.backends,
+            counter=None,
+            max_open_requests=max_open,
+        )
         self.module = Module()
         self.driver.policy = self.module  # type: ignore[assignment]
         self.terms = RequestParser(self.driver.settings)
@@ -54,7 +61,7 @@
     async def scenario() -> None:
         scene = Scene()
         scene.module.answers[RequestArrived] = ValueError("what")
-        assert scene.ask().reply == FAILED
+        assert scene.ask().reply == FAILED_REPLY
         scene.module.answers[RequestArrived] = [Reject("r2", 30.5)]
         assert scene.ask(b"r2").reply == b"-BUSY 31\r\n"
 
@@ -70,7 +77,7 @@
         slot = scene.ask(wait=20)
         assert slot.reply is None
         await until(lambda: slot.answered)
-        assert slot.reply == FAILED and not scene.driver.requests
+        assert slot.reply == FAILED_REPLY and not scene.driver.open_requests
         assert scene.module.of(ClientDisconnected) == [ClientDisconnected("r1")]
 
     in_loop(scenario)
@@ -120,7 +127,7 @@
             ("r1", 1, True),
         ]
         assert len(scene.module.of(ClientDisconnected)) == 2
-        assert not scene.driver.requests and not scene.driver.left
+        assert not scene.driver.open_requests and not scene.driver.disconnected_requests
 
     in_loop(scenario)
 
--- a/tests/network/test_endings.py
+++ b/tests/network/test_endings.py
@@ -106,7 +106,12 @@
     timers = TimerQueue(loop)
     backends = BackendPool(loop, timers, 60_000, 15_000, 1_000, most, 1_000_000)
     driver = Dispatcher(
-        settings(gateway_count=1, request_classes=(VIEW,)), 1, timers, backends, counter, most
+        settings(gateway_count=1, request_classes=(VIEW,)),
+        seed=1,
+        timers=timers,
+        backends=backends,
+        counter=counter,
+        max_open_requests=most,
     )
     driver.policy = module  # type: ignore[assignment]
     server = ClientListener(loop, timers, driver, TERMS, most, 1_000_000)
@@ -313,7 +318,7 @@
                 await until(lambda: driver.attempts)
                 leaver.close()
                 await until(lambda: not server.connections)
-                assert not driver.backends.connections and not driver.attempts and not driver.requests
+                assert not driver.backends.connections and not driver.attempts and not driver.open_requests
                 kinds = [type(event) for event in module.events]
                 assert kinds == [RequestArrived, ClientDisconnected, AttemptEnded]
 
@@ -418,7 +423,9 @@
 
 
 def flushing(counter: CounterClient) -> bool:
-    return any(lane.flushing or lane.waiting or lane.connecting for lane in counter.lanes)
+    return any(
+        channel.is_flush_scheduled or channel.unwritten or channel.connecting for channel in counter.channels
+    )
 
 
 @pytest.mark.parametrize("count", [1, 300])
@@ -430,7 +437,7 @@
 
     A timer or a reply brings the first attempt or a second copy, a failed attempt the next one.
     """
-    monkeypatch.setattr("gateway.network.counter_client.SILENT_MS", math.inf)
+    monkeypatch.setattr("gateway.network.counter_connection.SILENCE_TIMEOUT_MS", math.inf)
 
     async def scenario() -> None:
         loop, first, tally, second = asyncio.get_running_loop(), Raw(), Raw(), Backend()
@@ -450,13 +457,15 @@
             if event != "the request":
                 for id in ids:
                     leavers.append(knock(port, encode(*request(id))))
-                    await until(lambda: len(driver.requests) == len(leavers))
+                    await until(lambda: len(driver.open_requests) == len(leavers))
                     if event != "the counter's reply":
                         near.append(await first.taken(1))
                 if event == "the counter's reply":
                     near.append((await loop.sock_accept(tally.listener))[0])
                     near[0].setblocking(True)
-                    await until(lambda: len(counter.calls["all"]) == count and not flushing(counter))
+                    await until(
+                        lambda: len(counter.unreported_calls["all"]) == count and not flushing(counter)
+                    )
 
             def held_up() -> None:
                 if event == "the request":
@@ -481,7 +490,7 @@
             other.send(*request(b"after"))
             assert await other.receive() == b"value"
             assert [command[2] for command in second.got] == [b"before", b"after"]
-            assert not driver.requests and not driver.attempts and not driver.left
+            assert not driver.open_requests and not driver.attempts and not driver.disconnected_requests
             for each in near:
                 each.close()
         counter.close()
