--- /dev/null
+++ b/tests/network/test_process_endings.py
@@ -0,0 +1,139 @@
+"""The graceful shutdown, on real sockets, each step while something is owed to a client."""
+
+from __future__ import annotations
+
+import pytest
+
+from gateway.network import client_listener
+from tests.support.clients import as_peer, connect, connect_at_once, running_listener
+from tests.support.loopback import Backend, Reply, World, encode, in_loop, request, running, until
+
+
+def test_requests_on_connections_in_the_accept_queue_are_answered() -> None:
+    """The kernel has accepted them: to close the listener would reset requests that are complete."""
+
+    async def scenario() -> None:
+        async with running_listener() as (listener, handler, port):
+            ids = [b"%03d" % number for number in range(2 * client_listener.TAKEN_AT_ONCE)]
+            clients = [connect_at_once(port, encode(*request(id))) for id in ids]
+            assert not listener.connections
+
+            listener.begin_shutdown()
+            await until(lambda: len(handler.pending) == len(ids))
+            for id, reply in handler.pending.items():
+                reply.complete(encode(id.encode()))
+
+            for id, client in zip(ids, clients, strict=True):
+                peer = await as_peer(client)
+                assert await peer.receive() == [id]
+                assert await peer.receive() is None  # and then it is closed
+            await listener.all_closed.wait()
+
+    in_loop(scenario)
+
+
+def test_connection_accepted_last_may_still_send_its_request() -> None:
+    async def scenario() -> None:
+        async with running_listener() as (listener, handler, port):
+            late = connect_at_once(port)
+            silent = connect_at_once(port)
+
+            listener.begin_shutdown()
+            assert len(listener.connections) == 2
+            late.sendall(encode(*request(b"late")))
+            await until(lambda: "late" in handler.pending)
+            handler.pending["late"].complete(encode(b"yes"))
+
+            assert await (await as_peer(late)).receive() == [b"yes"]
+            assert await (await as_peer(silent)).receive() is None
+
+    in_loop(scenario)
+
+
+@pytest.mark.parametrize("ahead", [b"", encode(*request(b"first"))])
+def test_command_incomplete_at_sigterm_may_be_completed(ahead: bytes) -> None:
+    """Its last byte makes it a request, on a connection that the gateway must not have closed by then."""
+
+    async def scenario() -> None:
+        async with running_listener() as (listener, handler, port):
+            command = encode(*request(b"second"))
+            peer = await connect(port)
+            peer.writer.write(ahead + command[:-20])
+            await until(lambda: any(connection.reader.held for connection in listener.connections))
+
+            listener.begin_shutdown()
+            if ahead:
+                handler.pending["first"].complete(encode(b"yes"))
+                assert await peer.receive() == [b"yes"]
+            peer.writer.write(command[-20:])
+            await until(lambda: "second" in handler.pending)
+            handler.pending["second"].complete(encode(b"too"))
+
+            assert await peer.receive() == [b"too"]
+            assert await peer.receive() is None
+
+    in_loop(scenario)
+
+
+def test_request_that_crosses_the_previous_reply_is_accepted() -> None:
+    async def scenario() -> None:
+        async with running_listener() as (listener, handler, port):
+            client = connect_at_once(port, encode(*request(b"first")))
+            await until(lambda: handler.pending)
+            listener.begin_shutdown()
+
+            client.sendall(encode(*request(b"second")))  # is with the kernel as the first is answered
+            handler.pending["first"].complete(encode(b"yes"))
+            assert "second" in handler.pending
+            handler.pending["second"].complete(encode(b"too"))
+
+            peer = await as_peer(client)
+            assert [await peer.receive() for _ in range(3)] == [[b"yes"], [b"too"], None]
+
+    in_loop(scenario)
+
+
+def test_request_after_the_final_replies_is_rejected_and_not_forwarded(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It never ran, so that its client may retry elsewhere; a backend's reply could not come in time."""
+    monkeypatch.setattr("gateway.__main__.drain_times", lambda _settings: (0.01, 0.05))
+    monkeypatch.setattr("gateway.__main__.CLOSING_S", 10.0)
+
+    async def stay_silent(_command: list[bytes]) -> Reply:
+        return None
+
+    async def scenario() -> None:
+        backend = Backend(stay_silent)
+        async with running(World(backend)) as world:
+            hung = await world.client()
+            late = await world.client()
+            hung.send(*request(b"hung"))
+            data = encode(*request(b"late"))
+            late.writer.write(data[:-3])
+            await until(lambda: backend.got)
+
+            world.stop.set()
+            assert str(await hung.receive()) == "ERR failed"
+            late.writer.write(data[-3:])
+
+            assert str(await late.receive()) == "BUSY"
+            assert await late.receive() is None
+            assert len(backend.got) == 1
+
+    in_loop(scenario)
+
+
+def test_input_received_by_process_end_is_answered() -> None:
+    async def scenario() -> None:
+        async with running_listener() as (listener, handler, port):
+            handler.immediate_reply = b"-BUSY\r\n"
+            client = connect_at_once(port)
+            await until(lambda: listener.connections)
+
+            client.sendall(encode(*request(b"first")))
+            listener.close()
+
+            assert str(await (await as_peer(client)).receive()) == "BUSY"
+
+    in_loop(scenario)
--- /dev/null
+++ b/tests/support/manual_server.py
@@ -0,0 +1,68 @@
+"""Servers whose every step a test makes itself."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+from collections.abc import Iterator
+
+from tests.support.loopback import LOCAL, Discovery, Peer
+
+
+class ManualServer:
+    """Stands in for a backend or the counter; a test accepts its connections and writes to them itself."""
+
+    def __init__(self) -> None:
+        self.listener = socket.create_server((LOCAL, 0))
+        self.listener.setblocking(False)
+        self.address = self.listener.getsockname()
+
+    async def accept_after(self, commands: int) -> socket.socket:
+        """Accept a connection, and return it once so many commands have been received in full."""
+        connection = await self.accept()
+        peer = Peer(*await asyncio.open_connection(sock=connection.dup()))
+        for _ in range(commands):
+            assert await peer.receive()
+        connection.setblocking(True)
+        return connection
+
+    async def accept(self) -> socket.socket:
+        connection, _ = await asyncio.get_running_loop().sock_accept(self.listener)
+        return connection
+
+    def close(self) -> None:
+        self.listener.close()
+
+
+def reset(connection: socket.socket) -> None:
+    """Close a connection with a reset."""
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    connection.close()
+
+
+@contextlib.contextmanager
+def full_accept_queue() -> Iterator[tuple[socket.socket, list[socket.socket]]]:
+    """A listening socket to which connections come up late, and the connections that fill its queue."""
+    with contextlib.ExitStack() as stack:
+        listener = stack.enter_context(socket.create_server((LOCAL, 0), backlog=0))
+        fillers = [stack.enter_context(socket.socket()) for _ in range(3)]
+        for filler in fillers:
+            filler.setblocking(False)
+            filler.connect_ex(listener.getsockname())
+        yield listener, fillers
+
+
+class SilentAgent(Discovery):
+    """A discovery agent that takes calls and says nothing until it is resumed."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.resumed = asyncio.Event()
+        self.calls = 0
+
+    async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.calls += 1
+        await self.resumed.wait()
+        await super().talk(reader, writer)
