Give the life cycle a class GatewayServer, its budget and schedule a type each

The main module held start, reload, shutdown, the division of descriptors and the times of a shutdown in one file, with a function of 87 lines and bare tuples. Now it reads the environment and runs; gateway_server owns the parts and tasks, reload, descriptor_budget and shutdown_schedule are modules of their own, configuration has typed addresses and errors that name the key.

Tests give a shutdown schedule to the gateway in place of a patch of the main module.

--- a/gateway/network/configuration.py
+++ b/gateway/network/configuration.py
@@ -1,71 +1,152 @@
-"""What the platform tells a gateway: the file named by LB_CONFIG."""
+"""Reads the configuration that the platform gives a gateway: the JSON file that LB_CONFIG names.
+
+The file is in the words of the platform's pages; they are translated here and, for its `settings` object, in
+`gateway.settings_document`.
+"""
 
 from __future__ import annotations
 
 import json
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
+from ..errors import GatewayError
 from ..policy.settings import Settings
 from ..settings_document import parse_settings
 
-Address = tuple[str, int]
+DEFAULT_MAX_DESCRIPTORS = 1024
+"""File descriptors, where the configuration gives no limit: the usual soft limit of a process."""
+
+DEFAULT_MEMORY_MB = 64
+"""Memory in MB, where the configuration gives no limit."""
+
+DEFAULT_CONNECT_TIMEOUT_MS = 250
+"""Milliseconds until a connection to a backend has to be open, where the settings do not say."""
+
+DEFAULT_KEEPALIVE_MS = 15_000
+"""Milliseconds that a backend keeps an idle connection open, where the settings do not say."""
+
+DEFAULT_POLL_INTERVAL_MS = 10_000
+"""Milliseconds that a polled endpoint list may be old, where the settings do not say."""
+
+DEFAULT_MAX_OPEN_REQUESTS = 10_000
+"""Requests that may be open at once, where the settings do not say."""
+
+
+class ConfigurationError(GatewayError):
+    """The configuration cannot be read, or does not say what a gateway needs."""
+
+
+class Address(NamedTuple):
+    """A TCP address; a plain tuple to `socket.connect`."""
 
+    host: str
+    port: int
 
-class ConfigError(Exception):
-    """The configuration does not say what a gateway needs."""
+    def __str__(self) -> str:
+        """The form that `parse_address` reads."""
+        return f"{self.host}:{self.port}"
 
 
-@dataclass(frozen=True)
-class Config:
+@dataclass(frozen=True, kw_only=True)
+class GatewayConfig:
+    """What one gateway needs to know to start.
+
+    Attributes:
+        name: the gateway's name, for its log.
+        listen_address: where clients connect; port 0 means any free port.
+        discovery_address: where the endpoint list is watched or polled.
+        counter_address: the counter service, if there is one.
+        seed: of all random choices of this gateway.
+        max_descriptors: file descriptors that the process may have open.
+        memory_mb: memory that the process may take.
+        settings: the settings of the policy.
+        connect_timeout_ms: until a connection to a backend has to be open.
+        keepalive_ms: how long a backend keeps an idle connection open.
+        max_open_requests: how many requests may be open at once.
+        poll_interval_ms: how old a polled endpoint list may grow.
+        cached_endpoints: the endpoint list as this gateway last had it, in discovery's form; empty if none.
+    """
+
     name: str
-    listen: Address
-    discovery: Address
-    counter: Address | None
+    listen_address: Address
+    discovery_address: Address
+    counter_address: Address | None
     seed: int
     max_descriptors: int
     memory_mb: int
     settings: Settings
-    connect_timeout_ms: float  # milliseconds, as all times here
+    connect_timeout_ms: float
     keepalive_ms: float
     max_open_requests: int
-    poll_interval_ms: float  # how old a list that must be asked for may grow
-    cached_endpoints: dict[str, Any]  # the list of backends as this gateway last had it, in discovery's form
+    poll_interval_ms: float
+    cached_endpoints: dict[str, Any]
 
 
 def parse_address(text: str) -> Address:
+    """The address that "host:port" means.
+
+    Raises:
+        ValueError: `text` has no port, or one that is not a decimal number.
+    """
     host, colon, port = str(text).rpartition(":")
     if not colon or not port.isdigit():
         raise ValueError(f"not an address: {text!r}")
-    return host, int(port)
+    return Address(host, int(port))
 
 
-def parse_config(raw: dict[str, Any]) -> Config:
+def parse_config(document: dict[str, Any]) -> GatewayConfig:
+    """The typed configuration of a decoded document.
+
+    Raises:
+        ConfigurationError: a required key is missing, or a value has the wrong type or form.
+    """
     try:
-        settings = raw["settings"]
-        caps = settings.get("caps") or {}
-        return Config(
-            name=str(raw.get("name") or ""),
-            listen=parse_address(raw["listen"]),
-            discovery=parse_address(raw["discovery"]),
-            counter=parse_address(raw["counter"]) if raw.get("counter") else None,
-            seed=int(str(raw.get("seed") or "0"), 16),
-            max_descriptors=int((raw.get("limits") or {}).get("sockets") or 1024),
-            memory_mb=int((raw.get("limits") or {}).get("memory_mb") or 64),
-            settings=parse_settings(settings),
-            connect_timeout_ms=float(caps.get("connectTimeout") or 250),
-            keepalive_ms=float(caps.get("keepalive") or 15_000),
-            poll_interval_ms=float((settings.get("rules") or {}).get("askEvery") or 10_000),
-            max_open_requests=int(caps.get("maxOpen") or 10_000),
-            cached_endpoints=raw.get("known") or {},
-        )
-    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
-        raise ConfigError(f"{type(error).__name__}: {error}") from error
-
-
-def load_config(path: str) -> Config:
+        return _translate(document)
+    except KeyError as error:
+        raise ConfigurationError(f"key {error} is missing") from error
+    except (TypeError, ValueError, AttributeError, OverflowError) as error:
+        raise ConfigurationError(f"a value has the wrong type or form: {error}") from error
+
+
+def _translate(document: dict[str, Any]) -> GatewayConfig:
+    """The configuration that the platform's document means."""
+    settings = document["settings"]
+    capabilities = settings.get("caps") or {}
+    rules = settings.get("rules") or {}
+    limits = document.get("limits") or {}
+    counter = document.get("counter")
+    return GatewayConfig(
+        name=str(document.get("name") or ""),
+        listen_address=parse_address(document["listen"]),
+        discovery_address=parse_address(document["discovery"]),
+        counter_address=parse_address(counter) if counter else None,
+        seed=int(str(document.get("seed") or "0"), 16),
+        max_descriptors=int(limits.get("sockets") or DEFAULT_MAX_DESCRIPTORS),
+        memory_mb=int(limits.get("memory_mb") or DEFAULT_MEMORY_MB),
+        settings=parse_settings(settings),
+        connect_timeout_ms=float(capabilities.get("connectTimeout") or DEFAULT_CONNECT_TIMEOUT_MS),
+        keepalive_ms=float(capabilities.get("keepalive") or DEFAULT_KEEPALIVE_MS),
+        max_open_requests=int(capabilities.get("maxOpen") or DEFAULT_MAX_OPEN_REQUESTS),
+        poll_interval_ms=float(rules.get("askEvery") or DEFAULT_POLL_INTERVAL_MS),
+        cached_endpoints=document.get("known") or {},
+    )
+
+
+def load_config(path: str) -> GatewayConfig:
+    """Read the configuration file at `path`.
+
+    Raises:
+        ConfigurationError: the file cannot be read, is not JSON or is not a valid configuration.
+    """
     try:
-        return parse_config(json.loads(Path(path).read_text()))
+        document = json.loads(Path(path).read_text())
     except (OSError, ValueError, RecursionError) as error:
-        raise ConfigError(f"{path}: {error}") from error
+        raise ConfigurationError(f"{path}: {error}") from error
+    try:
+        return parse_config(document)
+    except ConfigurationError as error:
+        raise ConfigurationError(f"{path}: {error}") from error
+    except RecursionError as error:
+        raise ConfigurationError(f"{path}: nested too deeply") from error
--- /dev/null
+++ b/gateway/network/gateway_server.py
@@ -0,0 +1,262 @@
+"""The life cycle of one gateway: start, reload and graceful shutdown.
+
+`GatewayServer` owns the parts of a gateway and the task that watches the endpoint list.
+`run_until_signalled` is the whole life of a process that runs one.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import gc
+import logging
+import random
+import signal
+from collections.abc import Callable
+from functools import partial
+
+from ..policy.events import UpdateKind
+from ..policy.settings import SafetyRules
+from .backend_pool import BackendPool
+from .backoff import Backoff
+from .client_listener import ClientListener, RequestParser
+from .configuration import GatewayConfig, load_config
+from .counter_client import CounterClient
+from .descriptor_budget import budget_descriptors
+from .dispatcher import Dispatcher
+from .endpoint_watch import EndpointListError, EndpointWatcher, parse_endpoint_list
+from .reload import ReloadSignal, reload_addresses
+from .shutdown_schedule import ShutdownSchedule
+from .timers import TimerQueue
+
+log = logging.getLogger("gateway")
+
+BUFFER_SHARE = 0.2
+"""Fraction of the memory for incomplete replies of backends, and again for replies unread by clients."""
+
+FIRST_SNAPSHOT_TIMEOUT_S = 1.0
+"""Seconds that a start waits for the list of discovery's agent, which answers at once if at all."""
+
+WATCH_RETRY_SHARE = 0.25
+"""Fraction of the drain grace after which another watch is opened beside one that is not answered."""
+
+MIN_WATCH_RETRY_S = 0.05
+"""Seconds until then, at least."""
+
+
+def watch_retry_interval_s(rules: SafetyRules) -> float:
+    """Seconds after which another watch is opened beside one that is not answered."""
+    return max(MIN_WATCH_RETRY_S, rules.drain_grace_ms / 1000 * WATCH_RETRY_SHARE)
+
+
+class GatewayServer:
+    """One gateway: its parts, from the start to the end of a graceful shutdown.
+
+    Made within a running event loop, and run once.
+    """
+
+    def __init__(
+        self,
+        config: GatewayConfig,
+        *,
+        load: Callable[[], GatewayConfig] | None = None,
+        reload_signal: ReloadSignal | None = None,
+        shutdown_schedule: ShutdownSchedule | None = None,
+    ) -> None:
+        """Build the parts; nothing is connected yet.
+
+        Args:
+            config: what the gateway starts with.
+            load: gives the configuration that a reload takes its addresses from.
+            reload_signal: asks for reloads; without it, or without `load`, there are none.
+            shutdown_schedule: in place of the one that suits the settings.
+        """
+        self._config = config
+        self._load = load
+        self._reload_signal = reload_signal
+        self._schedule = shutdown_schedule or ShutdownSchedule.for_settings(config.settings)
+        self._loop = asyncio.get_running_loop()
+        self._timers = TimerQueue(self._loop)
+        self._budget = budget_descriptors(config.max_descriptors)
+        self._buffer_bytes = int(config.memory_mb * BUFFER_SHARE * 2**20)
+        self._backends = self._create_backend_pool()
+        self._counter = self._create_counter_client()
+        self._dispatcher = self._create_dispatcher()
+
+    async def run(self, stop: asyncio.Event, on_ready: Callable[[int], None] | None = None) -> None:
+        """Serve until `stop` is set, then shut down gracefully.
+
+        `on_ready` is given the port once clients may connect. A watch of the endpoint list that fails ends
+        the run with its exception.
+        """
+        version = self._apply_cached_endpoints()
+        watcher = self._create_watcher(version)
+        watch = self._loop.create_task(watcher.run())
+        stopped = self._loop.create_task(stop.wait())
+        try:
+            if not self._config.settings.polls_endpoints:
+                await self._await_first_snapshot(watcher, watch, stopped)
+            listener = self._start_listening(watcher, on_ready)
+            await asyncio.wait({stopped, watch}, return_when=asyncio.FIRST_COMPLETED)
+            if watch.done():
+                watch.result()  # ends only by a fault: better a visible crash than an outdated list
+            await self._shut_down(listener)
+        finally:
+            watch.cancel()
+            stopped.cancel()
+            await asyncio.wait({watch, stopped})
+        self._close_connections()
+
+    # ---- start ----
+
+    def _apply_cached_endpoints(self) -> int | None:
+        """Take up the cached list, if there is one; gives the version to watch from, None for a whole list.
+
+        It may be old, and what an agent holds counts as notified from the first moment: an agent's list is
+        read whole.
+        """
+        if not self._config.cached_endpoints:
+            return None
+        try:
+            cached = parse_endpoint_list(self._config.cached_endpoints)
+        except EndpointListError as error:
+            log.error("cached endpoint list cannot be read, starting without it: %s", error)
+            return None
+        self._dispatcher.on_endpoints(UpdateKind.CACHED, cached.members)
+        return cached.version if self._config.settings.polls_endpoints else None
+
+    async def _await_first_snapshot(
+        self, watcher: EndpointWatcher, watch: asyncio.Task[None], stopped: asyncio.Task[bool]
+    ) -> None:
+        """Wait for discovery's whole list, but no longer than for an agent that answers."""
+        received = self._loop.create_task(watcher.snapshot_received.wait())
+        try:
+            await asyncio.wait(
+                {received, watch, stopped},
+                timeout=FIRST_SNAPSHOT_TIMEOUT_S,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        finally:
+            received.cancel()
+
+    def _start_listening(
+        self, watcher: EndpointWatcher, on_ready: Callable[[int], None] | None
+    ) -> ClientListener:
+        """Let clients connect; from here on, reloads are fulfilled."""
+        listener = self._create_listener()
+        if self._reload_signal is not None and self._load is not None:
+            self._reload_signal.connect(partial(reload_addresses, self._load, watcher, self._counter))
+        address = self._config.listen_address
+        port = listener.listen(*address)
+        gc.collect()
+        gc.freeze()  # what the start has loaded stays: later collections need not go through it
+        log.info("%s serves at %s:%d", self._config.name, address.host, port)
+        if on_ready is not None:
+            on_ready(port)
+        return listener
+
+    # ---- shutdown ----
+
+    async def _shut_down(self, listener: ClientListener) -> None:
+        """Serve on for a while, then close clients' connections as their requests end."""
+        log.info("draining")
+        began_at = self._loop.time()
+        await asyncio.sleep(self._schedule.keep_serving_s)
+        listener.begin_shutdown()
+        try:
+            async with asyncio.timeout_at(began_at + self._schedule.fail_requests_s):
+                await listener.all_closed.wait()
+        except TimeoutError:
+            await self._fail_open_requests(listener)
+        listener.close()
+        log.info("drained")
+
+    async def _fail_open_requests(self, listener: ClientListener) -> None:
+        """Reply to what is open with a failure, before SIGKILL would lose it."""
+        log.warning("shutdown: %d requests still open, failing them", len(self._dispatcher.requests))
+        self._dispatcher.fail_open_requests()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._schedule.close_timeout_s):
+                await listener.all_closed.wait()
+
+    def _close_connections(self) -> None:
+        self._backends.close()
+        if self._counter is not None:
+            self._counter.close()
+
+    # ---- parts ----
+
+    def _create_backend_pool(self) -> BackendPool:
+        return BackendPool(
+            self._loop,
+            self._timers,
+            self._config.connect_timeout_ms,
+            self._config.keepalive_ms,
+            self._config.settings.safety_rules.drain_grace_ms,
+            self._budget.backend_connections,
+            self._buffer_bytes,
+        )
+
+    def _create_counter_client(self) -> CounterClient | None:
+        address = self._config.counter_address
+        if address is None:
+            return None
+        return CounterClient(self._loop, self._timers, address, self._config.settings.counter_timeout_ms)
+
+    def _create_dispatcher(self) -> Dispatcher:
+        return Dispatcher(
+            self._config.settings,
+            self._config.seed,
+            self._timers,
+            self._backends,
+            self._counter,
+            self._config.max_open_requests,
+        )
+
+    def _create_backoff(self) -> Backoff:
+        return Backoff(
+            self._config.settings.gateway_count,
+            self._config.poll_interval_ms / 1000,
+            random.Random(self._config.seed),
+        )
+
+    def _create_watcher(self, version: int | None) -> EndpointWatcher:
+        settings = self._config.settings
+        return EndpointWatcher(
+            self._config.discovery_address,
+            version,
+            self._dispatcher.on_endpoints,
+            self._create_backoff(),
+            settings.polls_endpoints,
+            watch_retry_interval_s(settings.safety_rules),
+        )
+
+    def _create_listener(self) -> ClientListener:
+        return ClientListener(
+            self._loop,
+            self._timers,
+            self._dispatcher,
+            RequestParser(self._config.settings),
+            self._budget.client_connections,
+            self._buffer_bytes,
+        )
+
+
+async def run_until_signalled(path: str) -> None:
+    """Run the gateway that the configuration file at `path` describes, until SIGTERM or SIGINT.
+
+    SIGHUP reloads the addresses in that file.
+
+    Raises:
+        ConfigurationError: the file cannot be read or is not valid.
+    """
+    loop = asyncio.get_running_loop()
+    stop = asyncio.Event()
+    reload_signal = ReloadSignal()
+    for signum in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signum, stop.set)
+    # Danger: without a handler SIGHUP ends the process, and all requests that are open in it.
+    loop.add_signal_handler(signal.SIGHUP, reload_signal.trigger)
+    load = partial(load_config, path)
+    server = GatewayServer(load(), load=load, reload_signal=reload_signal)
+    await server.run(stop)
--- /dev/null
+++ b/gateway/network/shutdown_schedule.py
@@ -0,0 +1,56 @@
+"""When the steps of a graceful shutdown happen."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ..policy.settings import Settings
+
+CLIENT_REDIRECT_S = 0.45
+"""Seconds after SIGTERM in which new connections still arrive."""
+
+LONGEST_DEADLINE_S = 3.0
+"""Longest request deadline in seconds that SIGKILL waits for; it comes 0.7 s after that."""
+
+LAST_REPLY_S = 0.4
+"""Seconds of these 0.7 s: what is open then is failed, before SIGKILL would lose it."""
+
+DEFAULT_REQUEST_TIME_S = 3.0
+"""Deadline and latency objective in seconds, where the settings have no request class."""
+
+CLOSE_TIMEOUT_S = 0.1
+"""Seconds in which clients' connections have to close once their requests have failed."""
+
+
+@dataclass(frozen=True, slots=True)
+class ShutdownSchedule:
+    """The steps of a graceful shutdown, in seconds.
+
+    Attributes:
+        keep_serving_s: after SIGTERM, until clients' connections are closed.
+        fail_requests_s: after SIGTERM, until the requests that are still open are failed.
+        close_timeout_s: after that, until connections that have not closed are cut off.
+    """
+
+    keep_serving_s: float
+    fail_requests_s: float
+    close_timeout_s: float = CLOSE_TIMEOUT_S
+
+    @classmethod
+    def for_settings(cls, settings: Settings) -> ShutdownSchedule:
+        """The schedule that suits the deadlines and latency objectives of the request classes.
+
+        This gateway's place is empty until it is back. So it serves the connections that it has for as long
+        as a reply within its latency objective can still come before SIGKILL.
+        """
+        classes = settings.request_classes
+        longest_deadline_s = min(
+            LONGEST_DEADLINE_S,
+            max((c.deadline_ms / 1000 for c in classes), default=DEFAULT_REQUEST_TIME_S),
+        )
+        objective_s = max((c.latency_objective_ms / 1000 for c in classes), default=DEFAULT_REQUEST_TIME_S)
+        fail_requests_s = longest_deadline_s + LAST_REPLY_S
+        return cls(
+            keep_serving_s=max(CLIENT_REDIRECT_S, fail_requests_s - objective_s),
+            fail_requests_s=fail_requests_s,
+        )
--- a/gateway/network/timers.py
+++ b/gateway/network/timers.py
@@ -15,14 +15,16 @@
 from collections.abc import Callable
 
 _OFFSET_MS = time.time() * 1000 - time.monotonic() * 1000
+"""Milliseconds from the monotonic clock to Unix time, as read at the start of the process."""
 
 
 def now_ms() -> float:
+    """The time in Unix milliseconds; it never goes back."""
     return time.monotonic() * 1000 + _OFFSET_MS
 
 
 class Timer:
-    """One call to come."""
+    """One call that is due at some time; given by `TimerQueue.call_at`."""
 
     __slots__ = ("callback",)
 
@@ -30,6 +32,7 @@
         self.callback: Callable[[], None] | None = callback
 
     def cancel(self) -> None:
+        """Never call back, if that has not happened yet."""
         self.callback = None
 
 
@@ -38,35 +41,51 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self._loop = loop
+        # Due time, serial number and timer. Plain tuples, as there are several for each request and the heap
+        # compares them in C; the serial number keeps timers of one moment in the order they were made.
         self._heap: list[tuple[float, int, Timer]] = []
         self._serial = itertools.count()
         self._handle: asyncio.TimerHandle | None = None
-        self._handle_due = math.inf
+        self._handle_due_ms = math.inf
 
-    def call_at(self, due: float, callback: Callable[[], None]) -> Timer:
+    def call_at(self, due_ms: float, callback: Callable[[], None]) -> Timer:
+        """Call `callback` once, as soon as `now_ms` has reached `due_ms`."""
         timer = Timer(callback)
-        heapq.heappush(self._heap, (due, next(self._serial), timer))
-        if due < self._handle_due:
-            self._arm(due)
+        heapq.heappush(self._heap, (due_ms, next(self._serial), timer))
+        if due_ms < self._handle_due_ms:
+            self._arm(due_ms)
         return timer
 
-    def _arm(self, due: float) -> None:
+    def _arm(self, due_ms: float) -> None:
         if self._handle is not None:
             self._handle.cancel()
-        self._handle_due = due
-        self._handle = self._loop.call_later(max(0.0, due - now_ms()) / 1000, self._run)
+        self._handle_due_ms = due_ms
+        self._handle = self._loop.call_later(max(0.0, due_ms - now_ms()) / 1000, self._run)
 
     def _run(self) -> None:
-        heap, self._handle, self._handle_due = self._heap, None, -math.inf  # nothing to arm meanwhile
+        self._handle = None
+        self._handle_due_ms = -math.inf  # callbacks that add timers need not arm: that is done at the end
         try:
-            # The event loop rounds to whole milliseconds and may call early; the module ignores a timer
-            # that comes before its time, and a request would then never be ended.
-            now, later = now_ms(), next(self._serial)  # those made meanwhile let the event loop turn first
-            while heap and (heap[0][2].callback is None or (heap[0][0] <= now and heap[0][1] < later)):
-                if callback := heapq.heappop(heap)[2].callback:
-                    callback()
-                    now = now_ms()
+            self._call_due()
         finally:
-            self._handle_due = math.inf
-            if heap:
-                self._arm(heap[0][0])
+            self._handle_due_ms = math.inf
+            if self._heap:
+                self._arm(self._heap[0][0])
+
+    def _call_due(self) -> None:
+        """Call back all that is due, and drop cancelled timers at the head of the queue.
+
+        Danger: the event loop rounds to whole milliseconds and may call early. The policy ignores a timer
+        that comes before its time, and its request would then never be ended: so each due time is checked.
+        """
+        heap = self._heap
+        now = now_ms()
+        first_new_serial = next(self._serial)  # timers added by callbacks wait for the event loop's next turn
+        while heap:
+            due_ms, serial, timer = heap[0]
+            if timer.callback is not None and (due_ms > now or serial >= first_new_serial):
+                break
+            heapq.heappop(heap)
+            if timer.callback is not None:
+                timer.callback()
+                now = now_ms()
--- a/scale/hollow.py
+++ b/scale/hollow.py
@@ -26,6 +26,7 @@
 from gateway.network.counter_client import CounterClient
 from gateway.network.dispatcher import Dispatcher
 from gateway.network.endpoint_watch import EndpointWatcher, backend_id_of
+from gateway.network.gateway_server import watch_retry_interval_s
 from gateway.network.timers import TimerQueue
 from gateway.policy.events import Outcome, UpdateKind
 
@@ -33,7 +34,6 @@
 from .settings import Customers
 
 BACKEND_SHARE, MEMORY_SHARE = 0.25, 0.2  # as in the program: of descriptors and memory
-GRACES, SOONEST_S = 0.25, 0.05  # likewise: when another watch is opened beside a silent one
 STEP_S = 0.005
 POLL_S = 0.05
 
@@ -82,8 +82,8 @@
             int(config.memory_mb * MEMORY_SHARE * 2**20),
         )
         self.counter = (
-            CounterClient(loop, timers, config.counter, settings.counter_timeout_ms)
-            if config.counter
+            CounterClient(loop, timers, config.counter_address, settings.counter_timeout_ms)
+            if config.counter_address
             else None
         )
         self.driver = Dispatcher(
@@ -91,9 +91,9 @@
         )
         self.terms = RequestParser(settings)
         busy = Backoff(settings.gateway_count, config.poll_interval_ms / 1000, random.Random(config.seed))
-        soon = max(SOONEST_S, settings.safety_rules.drain_grace_ms / 1000 * GRACES)
+        soon = watch_retry_interval_s(settings.safety_rules)
         asked = settings.polls_endpoints
-        self.discovery = EndpointWatcher(config.discovery, None, self.heard, busy, asked, soon)
+        self.discovery = EndpointWatcher(config.discovery_address, None, self.heard, busy, asked, soon)
         self.calls: list[tuple[float, list[int]]] = []  # when a message had been taken, and its backends
         self.seen: dict[int, list[float]] = {}  # by backend, what of `calls` has been looked at
         self.ids = itertools.count(1)
--- a/tests/network/test_client_listener.py
+++ b/tests/network/test_client_listener.py
@@ -11,8 +11,8 @@
 import hiredis
 import pytest
 
-from gateway.__main__ import RESERVED
 from gateway.network import client_listener as clients
+from gateway.network.descriptor_budget import RESERVED_DESCRIPTORS
 from tests.support.loopback import Backend, Peer, Reply, World, encode, in_loop, request, running, until
 
 
@@ -396,7 +396,7 @@
     monkeypatch.setattr(clients, "SPARE_MS", 0.0)
 
     async def scenario() -> None:
-        async with running(World(Backend(), sockets=RESERVED + 5)) as world:
+        async with running(World(Backend(), sockets=RESERVED_DESCRIPTORS + 5)) as world:
             peers: list[Peer] = [await world.client() for _ in range(3)]
             for number, peer in enumerate(peers):
                 assert await world.ask(peer, id=b"%d" % number) == b"value"
--- a/tests/network/test_descriptors.py
+++ b/tests/network/test_descriptors.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from gateway.__main__ import shares
+from gateway.network.descriptor_budget import budget_descriptors
 from tests.network.test_process import ROOT, connect
 from tests.support.loopback import (
     LOCAL,
@@ -140,7 +140,7 @@
         return None if command[2].startswith(b"hangs") else b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n"
 
     async def scenario() -> None:
-        for_clients, for_backends = shares(most)
+        for_clients, for_backends = budget_descriptors(most)
         old, new = Backend(hangs), Backend()
         world = World(old, new, sockets=most)
         world.settings = {**SETTINGS, "classes": [PATIENT]}
--- a/tests/network/test_endings.py
+++ b/tests/network/test_endings.py
@@ -19,7 +19,6 @@
 
 import pytest
 
-from gateway.__main__ import serve
 from gateway.network import client_listener as clients
 from gateway.network.backend_pool import BackendPool
 from gateway.network.client_listener import ClientListener, ClientRequest, PendingReply, RequestParser
@@ -27,7 +26,9 @@
 from gateway.network.counter_client import CounterClient
 from gateway.network.dispatcher import Dispatcher
 from gateway.network.endpoint_watch import MOST_TRIES, backend_id_of
+from gateway.network.gateway_server import GatewayServer
 from gateway.network.resp import MOST_TAKEN
+from gateway.network.shutdown_schedule import ShutdownSchedule
 from gateway.network.timers import TimerQueue, now_ms
 from gateway.policy.actions import Action, IncrementCounter, StartAttempt
 from gateway.policy.events import (
@@ -46,6 +47,7 @@
 from tests.network.test_backend_pool import Try, pool, rested
 from tests.support.loopback import (
     LOCAL,
+    QUICK_SHUTDOWN,
     SETTINGS,
     Backend,
     Counter,
@@ -618,19 +620,16 @@
     in_loop(scenario)
 
 
-def test_what_comes_after_the_last_answers_is_refused_and_not_sent_on(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
+def test_what_comes_after_the_last_answers_is_refused_and_not_sent_on() -> None:
     """It never ran, so that its client may ask elsewhere; a backend's answer could not come in time."""
-    monkeypatch.setattr("gateway.__main__.drain_times", lambda settings: (0.01, 0.05))
-    monkeypatch.setattr("gateway.__main__.CLOSING_S", 10.0)
+    schedule = ShutdownSchedule(keep_serving_s=0.01, fail_requests_s=0.05, close_timeout_s=10.0)
 
     async def silent(command: list[bytes]) -> Reply:
         return None
 
     async def scenario() -> None:
         backend = Backend(silent)
-        async with running(World(backend)) as world:
+        async with running(World(backend), schedule) as world:
             hung, late = await world.client(), await world.client()
             hung.send(*request(b"hung"))
             data = encode(*request(b"late"))
@@ -699,7 +698,7 @@
 
 def test_a_gateway_starts_with_what_the_agent_holds(monkeypatch: pytest.MonkeyPatch) -> None:
     """The list in its configuration may be old, and a drain that the agent knows of counts as told."""
-    monkeypatch.setattr("gateway.__main__.AGENT_S", 3600.0)
+    monkeypatch.setattr("gateway.network.gateway_server.FIRST_SNAPSHOT_TIMEOUT_S", 3600.0)
 
     async def scenario() -> None:
         drained, other = Backend(), Backend()
@@ -725,7 +724,7 @@
 
 
 def test_a_start_goes_on_without_an_agent(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("gateway.__main__.AGENT_S", 0.05)
+    monkeypatch.setattr("gateway.network.gateway_server.FIRST_SNAPSHOT_TIMEOUT_S", 0.05)
 
     async def scenario() -> None:
         world = World(Backend())
@@ -733,7 +732,8 @@
         ready: asyncio.Future[int] = asyncio.get_running_loop().create_future()
         for server in (*world.backends, world.counter, agent):
             await server.start()
-        task = asyncio.create_task(serve(parse_config(world.config()), world.stop, ready.set_result))
+        gateway = GatewayServer(parse_config(world.config()), shutdown_schedule=QUICK_SHUTDOWN)
+        task = asyncio.create_task(gateway.run(world.stop, ready.set_result))
         world.port = await ready
         assert await world.ask(await world.client()) == b"value"
         world.stop.set()
--- a/tests/network/test_process.py
+++ b/tests/network/test_process.py
@@ -15,9 +15,10 @@
 
 import pytest
 
-from gateway.__main__ import drain_times, reload
 from gateway.network import timers as clock
-from gateway.network.configuration import ConfigError, load_config, parse_config
+from gateway.network.configuration import ConfigurationError, load_config, parse_config
+from gateway.network.reload import reload_addresses
+from gateway.network.shutdown_schedule import ShutdownSchedule
 from gateway.policy.settings import RequestClass
 from tests.support.loopback import (
     LOCAL,
@@ -148,16 +149,16 @@
     in_loop(scenario)
 
 
-def test_what_is_open_at_the_end_is_failed_rather_than_lost(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_what_is_open_at_the_end_is_failed_rather_than_lost() -> None:
     """SIGKILL would leave its client without an answer; whether it ran is not known, so it is no refusal."""
-    monkeypatch.setattr("gateway.__main__.drain_times", lambda settings: (0.05, 0.1))
+    schedule = ShutdownSchedule(keep_serving_s=0.05, fail_requests_s=0.1)
 
     async def silent(command: list[bytes]) -> Reply:
         return None
 
     async def scenario() -> None:
         backend = Backend(silent)
-        async with running(World(backend)) as world:
+        async with running(World(backend), schedule) as world:
             peer = await world.client()
             peer.send(*request())
             await until(lambda: backend.got)
@@ -177,16 +178,18 @@
 ) -> None:
     """SIGKILL comes no sooner than the longest deadline, 3 s at most, and 0.7 s more."""
     kind = RequestClass("view", aim, deadline)
-    assert drain_times(settings(request_classes=(kind,))) == pytest.approx(times)
+    schedule = ShutdownSchedule.for_settings(settings(request_classes=(kind,)))
+    assert (schedule.keep_serving_s, schedule.fail_requests_s) == pytest.approx(times)
+    assert schedule.close_timeout_s == 0.1
     assert times[1] <= min(deadline / 1000, 3) + 0.7
 
 
-def test_connections_that_clients_have_are_served_while_draining(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_connections_that_clients_have_are_served_while_draining() -> None:
     """The place of this gateway is empty until it is back."""
-    monkeypatch.setattr("gateway.__main__.drain_times", lambda settings: (0.3, 0.6))
+    schedule = ShutdownSchedule(keep_serving_s=0.3, fail_requests_s=0.6)
 
     async def scenario() -> None:
-        async with running(World(Backend())) as world:
+        async with running(World(Backend()), schedule) as world:
             peer = await world.client()
             world.stop.set()
             served = 0
@@ -221,12 +224,12 @@
     async def scenario() -> None:
         async with Watch() as watch:
             address = watch.client.address
-            reload(lambda: load_config(str(path)), watch.client, None)
+            reload_addresses(lambda: load_config(str(path)), watch.client, None)
             assert watch.client.address == address and watch.client.version == 41
 
     caplog.set_level("ERROR")
     in_loop(scenario)
-    assert len(caplog.records) == 1 and "the old configuration stands" in caplog.text
+    assert len(caplog.records) == 1 and "the old configuration stays in force" in caplog.text
     assert caplog.text.count("\n") == 1
 
 
@@ -256,8 +259,8 @@
         }
     )
     assert config.settings.gateway_index == 2 and config.settings.max_attempts == 4
-    assert (config.keepalive_ms, config.seed, config.counter) == (9000.0, 255, None)
-    with pytest.raises(ConfigError):
+    assert (config.keepalive_ms, config.seed, config.counter_address) == (9000.0, 255, None)
+    with pytest.raises(ConfigurationError):
         parse_config({"listen": "10.0.0.4:6379", "discovery": "x", "settings": {}})
 
 
--- a/tests/support/loopback.py
+++ b/tests/support/loopback.py
@@ -12,13 +12,17 @@
 import hiredis
 import uvloop
 
-from gateway.__main__ import serve
 from gateway.network.backoff import Backoff
 from gateway.network.configuration import parse_config
 from gateway.network.endpoint_watch import BACKOFF_S, EndpointWatcher, ListedEndpoint
+from gateway.network.gateway_server import GatewayServer
+from gateway.network.shutdown_schedule import ShutdownSchedule
 from gateway.policy.events import EndpointState, UpdateKind
 
 LOCAL = "127.0.0.1"
+QUICK_SHUTDOWN = ShutdownSchedule(keep_serving_s=0.01, fail_requests_s=3.4)
+"""Gateways in tests have no front that still sends them connections."""
+
 SETTINGS: dict[str, Any] = {
     "az": "a",
     "groupSize": 1,
@@ -298,12 +302,13 @@
 
 
 @asynccontextmanager
-async def running(world: World) -> AsyncIterator[World]:
+async def running(world: World, shutdown_schedule: ShutdownSchedule = QUICK_SHUTDOWN) -> AsyncIterator[World]:
     servers = [*world.backends, world.counter, world.discovery]
     for server in servers:
         await server.start()
     ready: asyncio.Future[int] = asyncio.get_running_loop().create_future()
-    task = asyncio.create_task(serve(parse_config(world.config()), world.stop, ready.set_result))
+    gateway = GatewayServer(parse_config(world.config()), shutdown_schedule=shutdown_schedule)
+    task = asyncio.create_task(gateway.run(world.stop, ready.set_result))
     await asyncio.wait({task, ready}, return_when=asyncio.FIRST_COMPLETED)
     if task.done():
         task.result()
