--- a/tests/network/test_endpoint_endings.py
+++ b/tests/network/test_endpoint_endings.py
@@ -7,11 +7,22 @@
 
 import pytest
 
-from gateway.__main__ import serve
 from gateway.network.configuration import parse_config
 from gateway.network.endpoint_watch import MOST_TRIES, backend_id_of
+from gateway.network.gateway_server import GatewayServer
 from gateway.policy.events import EndpointState, UpdateKind
-from tests.support.loopback import LOCAL, Backend, Discovery, Watch, World, host, in_loop, running, until
+from tests.support.loopback import (
+    LOCAL,
+    QUICK_SHUTDOWN,
+    Backend,
+    Discovery,
+    Watch,
+    World,
+    host,
+    in_loop,
+    running,
+    until,
+)
 from tests.support.manual_server import SilentAgent
 
 
@@ -40,7 +51,7 @@
 
 def test_start_waits_for_the_agent_s_endpoint_list(monkeypatch: pytest.MonkeyPatch) -> None:
     """The list in its configuration may be old, and a drain that the agent knows of counts as notified."""
-    monkeypatch.setattr("gateway.__main__.AGENT_S", 3600.0)
+    monkeypatch.setattr("gateway.network.gateway_server.FIRST_SNAPSHOT_TIMEOUT_S", 3600.0)
 
     async def scenario() -> None:
         drained = Backend()
@@ -70,7 +81,7 @@
 
 
 def test_start_proceeds_without_an_agent(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("gateway.__main__.AGENT_S", 0.05)
+    monkeypatch.setattr("gateway.network.gateway_server.FIRST_SNAPSHOT_TIMEOUT_S", 0.05)
 
     async def scenario() -> None:
         world = World(Backend())
@@ -80,7 +91,8 @@
         for server in (*world.backends, world.counter, agent):
             await server.start()
 
-        task = asyncio.create_task(serve(parse_config(world.config()), world.stop, ready.set_result))
+        gateway = GatewayServer(parse_config(world.config()), shutdown_schedule=QUICK_SHUTDOWN)
+        task = asyncio.create_task(gateway.run(world.stop, ready.set_result))
         world.port = await ready
 
         assert await world.ask(await world.client()) == b"value"
--- a/tests/network/test_process_endings.py
+++ b/tests/network/test_process_endings.py
@@ -5,6 +5,7 @@
 import pytest
 
 from gateway.network import client_listener
+from gateway.network.shutdown_schedule import ShutdownSchedule
 from tests.support.clients import as_peer, connect, connect_at_once, running_listener
 from tests.support.loopback import Backend, Reply, World, encode, in_loop, request, running, until
 
@@ -93,19 +94,16 @@
     in_loop(scenario)
 
 
-def test_request_after_the_final_replies_is_rejected_and_not_forwarded(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
+def test_request_after_the_final_replies_is_rejected_and_not_forwarded() -> None:
     """It never ran, so that its client may retry elsewhere; a backend's reply could not come in time."""
-    monkeypatch.setattr("gateway.__main__.drain_times", lambda _settings: (0.01, 0.05))
-    monkeypatch.setattr("gateway.__main__.CLOSING_S", 10.0)
+    schedule = ShutdownSchedule(keep_serving_s=0.01, fail_requests_s=0.05, close_timeout_s=10.0)
 
     async def stay_silent(_command: list[bytes]) -> Reply:
         return None
 
     async def scenario() -> None:
         backend = Backend(stay_silent)
-        async with running(World(backend)) as world:
+        async with running(World(backend), schedule) as world:
             hung = await world.client()
             late = await world.client()
             hung.send(*request(b"hung"))
