--- a/gateway/__main__.py
+++ b/gateway/__main__.py
@@ -9,7 +9,7 @@
 import uvloop
 
 from .network.configuration import ConfigurationError
-from .network.endpoint_watch import EndpointListError
+from .network.endpoint_list import EndpointListError
 from .network.gateway_server import run_until_signalled
 
 BAD_CONFIGURATION = 2
--- a/gateway/network/dispatcher.py
+++ b/gateway/network/dispatcher.py
@@ -38,7 +38,7 @@
 from .backend_pool import Attempt, BackendPool
 from .client_listener import ClientRequest, PendingReply
 from .counter_client import CounterClient
-from .endpoint_watch import ListedEndpoint
+from .endpoint_list import ListedEndpoint
 from .resp import bulk
 from .timers import Timer, TimerQueue, now_ms
 
@@ -146,7 +146,7 @@
     def on_endpoints(
         self,
         kind: UpdateKind,
-        endpoints: tuple[ListedEndpoint, ...],
+        listed_endpoints: tuple[ListedEndpoint, ...],
         is_first: bool = True,
         is_last: bool = True,
     ) -> None:
@@ -154,19 +154,19 @@
         is_snapshot = kind is not UpdateKind.DELTA
         if is_snapshot and is_first:
             self._snapshot_addresses = {}
-        for endpoint in endpoints:
-            self.backends.update(endpoint.entry.backend_id, endpoint.address, endpoint.entry.state)
+        for listed in listed_endpoints:
+            self.backends.update(listed.endpoint.backend_id, listed.address, listed.endpoint.state)
         if is_snapshot:
-            self._stage_addresses(endpoints)
+            self._stage_addresses(listed_endpoints)
         if is_snapshot and is_last:
             self.backends.replace_endpoints(self._snapshot_addresses)
             self._snapshot_addresses = {}
-        entries = tuple(endpoint.entry for endpoint in endpoints)
-        self.deliver(EndpointUpdate(kind, entries, is_first, is_last))
+        endpoints = tuple(listed.endpoint for listed in listed_endpoints)
+        self.deliver(EndpointUpdate(kind, endpoints, is_first, is_last))
 
-    def _stage_addresses(self, endpoints: tuple[ListedEndpoint, ...]) -> None:
-        for endpoint in endpoints:
-            backend_id = endpoint.entry.backend_id
+    def _stage_addresses(self, listed_endpoints: tuple[ListedEndpoint, ...]) -> None:
+        for listed in listed_endpoints:
+            backend_id = listed.endpoint.backend_id
             # A draining backend has no address; of a backend that is listed twice, the last entry counts.
             if address := self.backends.addresses.get(backend_id):
                 self._snapshot_addresses[backend_id] = address
--- a/gateway/network/gateway_server.py
+++ b/gateway/network/gateway_server.py
@@ -24,7 +24,8 @@
 from .counter_client import CounterClient
 from .descriptor_budget import budget_descriptors
 from .dispatcher import Dispatcher
-from .endpoint_watch import EndpointListError, EndpointWatcher, parse_endpoint_list
+from .endpoint_list import EndpointListError, parse_endpoint_list
+from .endpoint_watch import EndpointWatcher
 from .reload import ReloadSignal, reload_addresses
 from .shutdown_schedule import ShutdownSchedule
 from .timers import TimerQueue
@@ -122,7 +123,7 @@
         except EndpointListError as error:
             log.error("cached endpoint list cannot be read, starting without it: %s", error)
             return None
-        self._dispatcher.on_endpoints(UpdateKind.CACHED, cached.members)
+        self._dispatcher.on_endpoints(UpdateKind.CACHED, cached.endpoints)
         return cached.version if self._config.settings.polls_endpoints else None
 
     async def _await_first_snapshot(
@@ -227,8 +228,8 @@
             version,
             self._dispatcher.on_endpoints,
             self._create_backoff(),
-            settings.polls_endpoints,
-            watch_retry_interval_s(settings.safety_rules),
+            is_polled=settings.polls_endpoints,
+            reopen_after_s=watch_retry_interval_s(settings.safety_rules),
         )
 
     def _create_listener(self) -> ClientListener:
--- a/tests/network/test_endpoint_endings.py
+++ b/tests/network/test_endpoint_endings.py
@@ -8,7 +8,8 @@
 import pytest
 
 from gateway.network.configuration import parse_config
-from gateway.network.endpoint_watch import MOST_TRIES, backend_id_of
+from gateway.network.endpoint_list import backend_id_of
+from gateway.network.endpoint_watch import MAX_UNANSWERED_CALLS
 from gateway.network.gateway_server import GatewayServer
 from gateway.policy.events import EndpointState, UpdateKind
 from tests.support.loopback import (
@@ -30,14 +31,14 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """What it holds at its return counts as notified at once: one lost call must not be waited for."""
-    monkeypatch.setattr("gateway.network.endpoint_watch.SILENT_S", 3600.0)
+    monkeypatch.setattr("gateway.network.endpoint_stream.SILENCE_TIMEOUT_S", 3600.0)
 
     async def scenario() -> None:
-        async with Watch(service=SilentAgent(), again=0.01) as watch:
+        async with Watch(service=SilentAgent(), reopen_after_s=0.01) as watch:
             agent = watch.service
             assert isinstance(agent, SilentAgent)
-            await until(lambda: agent.calls > MOST_TRIES)
-            assert len(agent.open) <= MOST_TRIES + 1  # and not ever more of them
+            await until(lambda: agent.calls > MAX_UNANSWERED_CALLS)
+            assert len(agent.open) <= MAX_UNANSWERED_CALLS + 1  # and not ever more of them
 
             agent.resumed.set()
             await until(lambda: len(agent.open) == 1)  # all others are closed
@@ -121,7 +122,7 @@
     """A drain that is notified there meanwhile counts."""
 
     async def scenario() -> None:
-        async with Watch(version=41, service=Discovery(), again=0.01) as watch:
+        async with Watch(version=41, service=Discovery(), reopen_after_s=0.01) as watch:
             await watch.watched(1)
             silent = SilentAgent()
             await silent.start()
