Split the client listener into parser, pending reply, connection and listener

One module of 600 lines parsed requests, drove connections and accepted them, under names of its own. Each is a module now, the command half of the RESP code too, with typed InvalidRequestError, limits as a dataclass, constants one a line with unit and reason, and log lines that name the address and what the clients got.

--- a/gateway/__main__.py
+++ b/gateway/__main__.py
@@ -18,11 +18,12 @@
 
 from .network.backend_pool import BackendPool
 from .network.backoff import Backoff
-from .network.client_listener import ClientListener, RequestParser
+from .network.client_listener import ClientLimits, ClientListener
 from .network.configuration import Config, ConfigError, load_config
 from .network.counter_client import CounterClient
 from .network.dispatcher import Dispatcher
 from .network.endpoint_watch import EndpointListError, EndpointWatcher, parse_endpoint_list
+from .network.request_parser import RequestParser
 from .network.timers import TimerQueue
 from .policy.events import UpdateKind
 from .policy.settings import Settings
@@ -154,8 +155,7 @@
         timers,
         driver,
         RequestParser(config.settings),
-        for_clients,
-        memory,
+        ClientLimits(max_connections=for_clients, memory_bytes=memory),
     )
     if again is not None and load is not None:
         again.ready(partial(reload, load, discovery, counter))
--- a/gateway/network/dispatcher.py
+++ b/gateway/network/dispatcher.py
@@ -31,10 +31,11 @@
 )
 from ..policy.settings import Settings
 from .backend_pool import Attempt, BackendPool
-from .client_listener import ClientRequest, PendingReply
 from .counter_client import CounterClient
 from .endpoint_watch import ListedEndpoint
-from .resp import bulk
+from .pending_reply import PendingReply
+from .request_parser import ClientRequest
+from .resp import encode_bulk_string
 from .timers import Timer, TimerQueue, now_ms
 
 log = logging.getLogger(__name__)
@@ -127,7 +128,7 @@
         # Danger: an attempt that goes on after its request's answer is known by the id as well.
         out = any((command.id, number) in self.attempts for number in range(self.settings.max_attempts))
         if out or command.id in self.requests:
-            slot.request = None  # the other one's
+            slot.open_request_id = None  # the other one's
             return slot.complete(b"-ERR id in use\r\n")
         if self.ending or len(self.requests) >= self.max_open:
             return slot.complete(b"-BUSY\r\n")
@@ -136,11 +137,11 @@
             request_class=command.request_class,
             plan=command.plan,
             customer=command.customer,
-            deadline=now_ms() + command.wait,
-            cost=command.units,
-            gateway_set_size=command.spread,
-            gateway_set_start=command.first,
-            is_retry=command.repeat,
+            deadline=now_ms() + command.remaining_ms,
+            cost=command.cost,
+            gateway_set_size=command.gateway_set_size,
+            gateway_set_start=command.gateway_set_start,
+            is_retry=command.is_retry,
         )
         owner = self.requests[command.id] = Request(command, slot, event.deadline)
         owner.timer = self.timers.call_at(owner.deadline, partial(self.on_expired, owner))
@@ -178,7 +179,7 @@
         request = owner.command.id
         del self.attempts[request, number], owner.live[number]
         if outcome is Outcome.OK:
-            self.finish(request, bulk(value))
+            self.finish(request, encode_bulk_string(value))
         finished = self.requests.get(request) is not owner
         if finished:
             self.settle(owner)
--- /dev/null
+++ b/gateway/network/request_parser.py
@@ -0,0 +1,216 @@
+"""Validation of the request commands that clients send, `API.READ` and `API.WRITE`.
+
+The arguments of both are customer, request id, a list of `name=value` attributes and an optional body. They
+come from clients, who are not trusted: each is checked here before the policy sees any of them.
+"""
+
+from __future__ import annotations
+
+import re
+from dataclasses import dataclass
+
+from ..errors import GatewayError
+from ..policy.settings import Idempotency, RequestClass, Settings
+from .resp import encode_bulk_string
+
+REQUEST_COMMANDS = {b"API.READ": True, b"API.WRITE": False}
+"""The commands that are requests, and whether each serves idempotent request classes or the others."""
+
+MIN_ARGUMENTS = 4
+"""Command, customer, request id and attributes."""
+
+MAX_ARGUMENTS = 5
+"""The same and a body."""
+
+MAX_DEADLINE_MULTIPLE = 2.0
+"""The longest remaining time of a request, in deadlines of its class: no client waits longer."""
+
+CUSTOMER_COUNT = 2**33
+"""Customers are numbered from 0 up to this, in 16 hexadecimal digits."""
+
+# Strict forms: `float` and `int` also accept nan, 1_0, +1 and spaces.
+DECIMAL_FORM = re.compile(rb"\d{1,12}(?:\.\d{1,12})?")
+INTEGER_FORM = re.compile(rb"\d{1,6}")
+CUSTOMER_FORM = re.compile(rb"[0-9a-fA-F]{16}")
+IDENTIFIER_FORM = re.compile(rb"[!-~]{1,64}")
+
+
+class InvalidRequestError(GatewayError, ValueError):
+    """A command is no request that the settings allow; its text is the reason that the client is sent."""
+
+
+@dataclass(slots=True)
+class ClientRequest:
+    """A valid request of a client, with its arguments as they are forwarded.
+
+    Everything but the remaining time goes to the backend byte for byte as it came.
+    """
+
+    leading_arguments: bytes
+    """Encoded command, customer and request id."""
+    attributes_before_remaining_time: bytes
+    attributes_after_remaining_time: bytes
+    trailing_arguments: bytes
+    """The encoded body; empty without one."""
+    argument_count: int
+    id: str
+    customer: str
+    request_class: str
+    plan: str
+    remaining_ms: float
+    """How long the client waits for the reply, from now on, in milliseconds."""
+    cost: float
+    gateway_set_size: int
+    gateway_set_start: int
+    is_retry: bool
+
+    def encode(self, remaining_ms: int) -> bytes:
+        """Encode the command for a backend that is left `remaining_ms` milliseconds."""
+        attributes = b"%b%d%b" % (
+            self.attributes_before_remaining_time,
+            remaining_ms,
+            self.attributes_after_remaining_time,
+        )
+        return b"*%d\r\n%b%b%b" % (
+            self.argument_count,
+            self.leading_arguments,
+            encode_bulk_string(attributes),
+            self.trailing_arguments,
+        )
+
+
+class _ClassRules:
+    """What a request of one class has to keep to, computed once."""
+
+    __slots__ = ("is_idempotent", "max_remaining_ms", "name", "needs_key")
+
+    def __init__(self, request_class: RequestClass) -> None:
+        self.name = request_class.name
+        self.is_idempotent = request_class.idempotency is Idempotency.IDEMPOTENT
+        self.needs_key = request_class.idempotency is Idempotency.WITH_KEY
+        self.max_remaining_ms = request_class.deadline_ms * MAX_DEADLINE_MULTIPLE
+
+
+class RequestParser:
+    """Turns the arguments of request commands into requests that the settings allow."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._class_rules = {c.name.encode(): _ClassRules(c) for c in settings.request_classes}
+        self._plans = {p.name.encode(): p.name for p in settings.plans}
+        self._max_request_cost = settings.max_request_cost
+        self._gateway_count = settings.gateway_count
+
+    def parse(self, arguments: list[bytes]) -> ClientRequest:
+        """Check the arguments of one of `REQUEST_COMMANDS`, its name included.
+
+        Danger: this is the only check. Unknown plans have no quota, a negative cost fills a bucket and takes
+        from the counter's total for all gateways, and a customer is stored with the first plan it came with.
+
+        Raises:
+            InvalidRequestError: the arguments are no request of a known class, plan and size.
+        """
+        if not MIN_ARGUMENTS <= len(arguments) <= MAX_ARGUMENTS:
+            raise InvalidRequestError("wrong number of arguments")
+        command, customer, request_id, attribute_list = arguments[:MIN_ARGUMENTS]
+        attributes = _split_attributes(attribute_list)
+        rules, plan = self._resolve_class_and_plan(command, attributes)
+        customer_number = _parse_customer(customer)
+        _check_identifiers(request_id, attributes, rules)
+        remaining_ms = _parse_decimal(attributes, b"d")
+        cost = _parse_decimal(attributes, b"units")
+        gateway_set_size = _parse_integer(attributes, b"spread")
+        gateway_set_start = _parse_integer(attributes, b"first")
+        self._check_ranges(rules, remaining_ms, cost, gateway_set_size, gateway_set_start)
+        remaining_start = _find_remaining_time(attribute_list)
+        remaining_end = remaining_start + len(attributes[b"d"])
+        return ClientRequest(  # by position: keywords made the whole of `parse` a tenth slower
+            encode_bulk_string(command) + encode_bulk_string(customer) + encode_bulk_string(request_id),
+            attribute_list[:remaining_start],
+            attribute_list[remaining_end:],
+            encode_bulk_string(arguments[4]) if len(arguments) > MIN_ARGUMENTS else b"",
+            len(arguments),
+            request_id.decode("ascii"),
+            f"{customer_number:016x}",
+            rules.name,
+            plan,
+            remaining_ms,
+            cost,
+            gateway_set_size,
+            gateway_set_start,
+            attributes.get(b"r") == b"1",
+        )
+
+    def _resolve_class_and_plan(
+        self, command: bytes, attributes: dict[bytes, bytes]
+    ) -> tuple[_ClassRules, str]:
+        rules = self._class_rules.get(attributes.get(b"c", b""))
+        if rules is None:
+            raise InvalidRequestError("unknown class")
+        plan = self._plans.get(attributes.get(b"t", b""))
+        if plan is None:
+            raise InvalidRequestError("unknown plan")
+        if REQUEST_COMMANDS[command.upper()] is not rules.is_idempotent:
+            raise InvalidRequestError("class of another command")
+        return rules, plan
+
+    def _check_ranges(
+        self,
+        rules: _ClassRules,
+        remaining_ms: float,
+        cost: float,
+        gateway_set_size: int,
+        gateway_set_start: int,
+    ) -> None:
+        if not 0 < remaining_ms <= rules.max_remaining_ms:
+            raise InvalidRequestError("time left out of range")
+        if not 0 < cost <= self._max_request_cost:
+            raise InvalidRequestError("units out of range")
+        if not (1 <= gateway_set_size <= self._gateway_count and gateway_set_start < self._gateway_count):
+            raise InvalidRequestError("set out of range")
+
+
+def _split_attributes(attribute_list: bytes) -> dict[bytes, bytes]:
+    attributes: dict[bytes, bytes] = {}
+    for attribute in attribute_list.split(b","):
+        name, equals, value = attribute.partition(b"=")
+        if not equals or name in attributes:
+            raise InvalidRequestError("malformed attributes")
+        attributes[name] = value
+    return attributes
+
+
+def _parse_customer(text: bytes) -> int:
+    if not CUSTOMER_FORM.fullmatch(text):
+        raise InvalidRequestError("malformed customer")
+    number = int(text, 16)
+    if number >= CUSTOMER_COUNT:
+        raise InvalidRequestError("malformed customer")
+    return number
+
+
+def _check_identifiers(request_id: bytes, attributes: dict[bytes, bytes], rules: _ClassRules) -> None:
+    if not IDENTIFIER_FORM.fullmatch(request_id):
+        raise InvalidRequestError("malformed id")
+    if rules.needs_key and not IDENTIFIER_FORM.fullmatch(attributes.get(b"k", b"")):
+        raise InvalidRequestError("key missing")
+
+
+def _parse_decimal(attributes: dict[bytes, bytes], name: bytes) -> float:
+    text = attributes.get(name, b"")
+    if not DECIMAL_FORM.fullmatch(text):
+        raise InvalidRequestError(f"{name.decode()} is no number")
+    return float(text)
+
+
+def _parse_integer(attributes: dict[bytes, bytes], name: bytes) -> int:
+    text = attributes.get(name, b"")
+    if not INTEGER_FORM.fullmatch(text):
+        raise InvalidRequestError(f"{name.decode()} is no number")
+    return int(text)
+
+
+def _find_remaining_time(attribute_list: bytes) -> int:
+    """Where the value of the attribute `d`, which has to be there, begins."""
+    if attribute_list.startswith(b"d="):
+        return len(b"d=")
+    return attribute_list.index(b",d=") + len(b",d=")
--- a/scale/hollow.py
+++ b/scale/hollow.py
@@ -21,11 +21,12 @@
 
 from gateway.network.backend_pool import Attempt, BackendPool
 from gateway.network.backoff import Backoff
-from gateway.network.client_listener import ClientConnection, PendingReply, RequestParser
 from gateway.network.configuration import parse_config
 from gateway.network.counter_client import CounterClient
 from gateway.network.dispatcher import Dispatcher
 from gateway.network.endpoint_watch import EndpointWatcher, backend_id_of
+from gateway.network.pending_reply import PendingReply, ReplyConnection
+from gateway.network.request_parser import RequestParser
 from gateway.network.timers import TimerQueue
 from gateway.policy.events import Outcome, UpdateKind
 
@@ -51,12 +52,12 @@
     __slots__ = ("owner",)
 
     def __init__(self, owner: Hollow) -> None:
-        super().__init__(cast(ClientConnection, None))
+        super().__init__(cast(ReplyConnection, None))
         self.owner = owner
 
     def complete(self, reply: bytes) -> None:
-        if not self.answered:
-            self.answered = True
+        if not self.is_completed:
+            self.is_completed = True
             self.owner.served += reply.startswith(b"$")
 
     def detect_disconnect(self) -> None:
--- a/tests/network/test_client_listener.py
+++ b/tests/network/test_client_listener.py
@@ -12,7 +12,8 @@
 import pytest
 
 from gateway.__main__ import RESERVED
-from gateway.network import client_listener as clients
+from gateway.network import client_connection, client_listener
+from gateway.network.client_listener import ClientListener
 from tests.support.loopback import Backend, Peer, Reply, World, encode, in_loop, request, running, until
 
 
@@ -188,17 +189,17 @@
 
 
 @contextmanager
-def server_seen(monkeypatch: pytest.MonkeyPatch) -> Iterator[list[clients.ClientListener]]:
+def server_seen(monkeypatch: pytest.MonkeyPatch) -> Iterator[list[ClientListener]]:
     """The server of the gateway that is started meanwhile."""
-    seen: list[clients.ClientListener] = []
-    keep = clients.ClientListener.listen
+    seen: list[ClientListener] = []
+    keep = ClientListener.listen
 
-    def listen(self: clients.ClientListener, host: str, port: int) -> int:
+    def listen(self: ClientListener, host: str, port: int) -> int:
         seen.append(self)
         return keep(self, host, port)
 
     with monkeypatch.context() as patch:
-        patch.setattr(clients.ClientListener, "listen", listen)
+        patch.setattr(ClientListener, "listen", listen)
         yield seen
 
 
@@ -213,12 +214,14 @@
                 (connection,) = seen[0].connections
                 echo = encode(b"PING", b"x" * 65536)
                 written = 0
-                while connection.reading:
+                while connection.is_reading:
                     peer.writer.write(echo)
                     written += 1
                     await asyncio.sleep(0)
-                held = len(connection.unsent) + sum(len(slot.reply or b"") for slot in connection.slots)
-                assert held <= clients.MOST_UNREAD + 2 * 66_000
+                held = len(connection.send_buffer) + sum(
+                    len(slot.reply or b"") for slot in connection.pending_replies
+                )
+                assert held <= client_connection.MAX_UNSENT_BYTES + 2 * 66_000
                 for _ in range(written):  # once it reads, it gets all of them
                     assert await peer.receive() == b"x" * 65536
 
@@ -237,20 +240,20 @@
                     for peer in peers:
                         peer.send(b"PING", b"x" * 65536)
                     await asyncio.sleep(0)
-                    assert seen[0].unsent <= seen[0].most_unsent + 70_000
+                    assert seen[0].unsent_bytes <= seen[0].max_unsent_bytes + 70_000
                 late = await world.client()
                 assert await world.ask(late) == b"value"
                 for peer in peers:
                     peer.writer.transport.abort()
         await until(lambda: not seen[0].connections)
-        assert seen[0].unsent == 0
+        assert seen[0].unsent_bytes == 0
 
     in_loop(scenario)
 
 
 def test_a_client_that_never_reads_is_closed(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(clients, "SLOW_MS", 50.0)
-    monkeypatch.setattr(clients, "SWEEP_MS", 10.0)
+    monkeypatch.setattr(client_connection, "SLOW_READER_TIMEOUT_MS", 50.0)
+    monkeypatch.setattr(client_listener, "SWEEP_INTERVAL_MS", 10.0)
 
     async def scenario() -> None:
         with server_seen(monkeypatch) as seen:
@@ -277,8 +280,8 @@
 )
 def test_what_is_not_whole_in_time_is_closed(monkeypatch: pytest.MonkeyPatch, said: bytes) -> None:
     """Half a command, or nothing at all, would hold a descriptor for ever."""
-    monkeypatch.setattr(clients, "WHOLE_MS", 500.0)
-    monkeypatch.setattr(clients, "SWEEP_MS", 10.0)
+    monkeypatch.setattr(client_connection, "COMMAND_TIMEOUT_MS", 500.0)
+    monkeypatch.setattr(client_listener, "SWEEP_INTERVAL_MS", 10.0)
 
     async def scenario() -> None:
         async with running(World(Backend())) as world:
@@ -361,8 +364,8 @@
     async def scenario() -> None:
         with server_seen(monkeypatch) as seen:
             async with running(World(Backend())) as world:
-                assert seen[0].listener is not None
-                seen[0].listener = Short(seen[0].listener)  # type: ignore[assignment]
+                assert seen[0].listening_socket is not None
+                seen[0].listening_socket = Short(seen[0].listening_socket)  # type: ignore[assignment]
                 assert await world.ask(await world.client()) == b"value"
 
     in_loop(scenario)
@@ -379,7 +382,7 @@
         backend = Backend(script)
         async with running(World(backend)) as world:
             peer = await world.client()
-            count = clients.MOST_WAITING * 2
+            count = client_connection.MAX_PENDING_REPLIES * 2
             ids = [b"%04d" % n for n in range(count)]
             peer.writer.write(b"".join(encode(*request(id)) for id in ids))
             await until(lambda: backend.got)
@@ -393,7 +396,7 @@
 
 
 def test_at_the_bound_an_unused_connection_makes_room(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(clients, "SPARE_MS", 0.0)
+    monkeypatch.setattr(client_listener, "EVICTABLE_AFTER_MS", 0.0)
 
     async def scenario() -> None:
         async with running(World(Backend(), sockets=RESERVED + 5)) as world:
@@ -466,9 +469,9 @@
                 (connection,) = seen[0].connections
                 peer.writer.write(encode(*request()) + b"?what\r\n" + b"x" * 10_000_000)
                 await until(lambda: backend.got)
-                assert connection.closing
+                assert connection.is_finishing
                 await peer.writer.drain()  # read to its end, which alone would show that the client has left
-                assert connection.reader.held <= clients.READ_BYTES
+                assert connection.command_parser.buffered_bytes <= client_listener.RECEIVE_BUFFER_BYTES
                 go_on.set()
                 assert await peer.receive() == b"value"
                 assert failed(await peer.receive())
--- a/tests/network/test_dispatcher.py
+++ b/tests/network/test_dispatcher.py
@@ -8,8 +8,11 @@
 import pytest
 
 from gateway.network.backend_pool import BackendPool
-from gateway.network.client_listener import ClientConnection, ClientListener, PendingReply, RequestParser
+from gateway.network.client_connection import ClientConnection
+from gateway.network.client_listener import ClientLimits, ClientListener
 from gateway.network.dispatcher import FAILED, Dispatcher
+from gateway.network.pending_reply import PendingReply
+from gateway.network.request_parser import RequestParser
 from gateway.network.timers import TimerQueue
 from gateway.policy.actions import IncrementCounter, Reject, StartAttempt
 from gateway.policy.events import (
@@ -36,15 +39,15 @@
         self.module = Module()
         self.driver.policy = self.module  # type: ignore[assignment]
         self.terms = RequestParser(self.driver.settings)
-        server = ClientListener(loop, timers, self.driver, self.terms, 10, 1_000_000)
+        server = ClientListener(loop, timers, self.driver, self.terms, ClientLimits(10, 1_000_000))
         self.near, self.far = socket.socketpair()
         self.near.setblocking(False)
         self.connection = ClientConnection(server, self.near)
 
     def ask(self, id: bytes = b"r1", wait: int = 3000) -> PendingReply:
         slot = PendingReply(self.connection)
-        slot.request = id.decode()
-        self.connection.slots.append(slot)
+        slot.open_request_id = id.decode()
+        self.connection.pending_replies.append(slot)
         args = list(request(id, plan=BONUS.name.encode(), wait=wait))
         self.driver.on_request(self.terms.parse(args), slot)
         return slot
@@ -69,7 +72,7 @@
         scene = Scene()
         slot = scene.ask(wait=20)
         assert slot.reply is None
-        await until(lambda: slot.answered)
+        await until(lambda: slot.is_completed)
         assert slot.reply == FAILED and not scene.driver.requests
         assert scene.module.of(ClientDisconnected) == [ClientDisconnected("r1")]
 
@@ -100,7 +103,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """By another one's the module would hold it to be out for ever."""
-    monkeypatch.setattr("gateway.network.client_listener.LOOK_MS", 0.0)
+    monkeypatch.setattr("gateway.network.client_connection.DISCONNECT_CHECK_INTERVAL_MS", 0.0)
 
     async def scenario() -> None:
         scene = Scene()
@@ -134,7 +137,7 @@
         scene.module.answers[RequestArrived] = [StartAttempt("r1", 7, timeout_ms=20.0)]
         scene.module.answers[AttemptEnded] = [Reject("r1")]
         slot = scene.ask()
-        await until(lambda: slot.answered)
+        await until(lambda: slot.is_completed)
         (ended,) = scene.module.of(AttemptEnded)
         assert isinstance(ended, AttemptEnded)
         assert (ended.outcome, ended.request_finished) == (
--- a/tests/network/test_endings.py
+++ b/tests/network/test_endings.py
@@ -20,14 +20,16 @@
 import pytest
 
 from gateway.__main__ import serve
-from gateway.network import client_listener as clients
+from gateway.network import client_connection, client_listener
 from gateway.network.backend_pool import BackendPool
-from gateway.network.client_listener import ClientListener, ClientRequest, PendingReply, RequestParser
+from gateway.network.client_listener import ClientLimits, ClientListener
 from gateway.network.configuration import parse_config
 from gateway.network.counter_client import CounterClient
 from gateway.network.dispatcher import Dispatcher
 from gateway.network.endpoint_watch import MOST_TRIES, backend_id_of
-from gateway.network.resp import MOST_TAKEN
+from gateway.network.pending_reply import PendingReply
+from gateway.network.request_parser import ClientRequest, RequestParser
+from gateway.network.resp_commands import COMPACTION_THRESHOLD_BYTES
 from gateway.network.timers import TimerQueue, now_ms
 from gateway.policy.actions import Action, IncrementCounter, StartAttempt
 from gateway.policy.events import (
@@ -89,7 +91,7 @@
     most: int = 100, memory: int = 1_000_000
 ) -> AsyncIterator[tuple[ClientListener, Holder, int]]:
     loop, holder = asyncio.get_running_loop(), Holder()
-    server = ClientListener(loop, TimerQueue(loop), holder, TERMS, most, memory)
+    server = ClientListener(loop, TimerQueue(loop), holder, TERMS, ClientLimits(most, memory))
     port = server.listen(LOCAL, 0)
     yield server, holder, port
     server.begin_shutdown()
@@ -109,7 +111,7 @@
         settings(gateway_count=1, request_classes=(VIEW,)), 1, timers, backends, counter, most
     )
     driver.policy = module  # type: ignore[assignment]
-    server = ClientListener(loop, timers, driver, TERMS, most, 1_000_000)
+    server = ClientListener(loop, timers, driver, TERMS, ClientLimits(most, 1_000_000))
     yield driver, module, server, server.listen(LOCAL, 0)
     server.begin_shutdown()
     server.close()
@@ -130,16 +132,16 @@
     async def scenario() -> None:
         async with served() as (server, holder, port):
             peer = await connect(port)
-            count = clients.MOST_WAITING * (1 if behind else 3)
+            count = client_connection.MAX_PENDING_REPLIES * (1 if behind else 3)
             ids = [b"%04d" % number for number in range(count)]
             peer.writer.write(b"".join(encode(*request(id)) for id in ids) + behind)
-            await until(lambda: len(holder.slots) == clients.MOST_WAITING)
+            await until(lambda: len(holder.slots) == client_connection.MAX_PENDING_REPLIES)
             peer.close()
             await until(lambda: not server.connections)
             assert sorted(holder.gone) == sorted(holder.slots)
             for slot in list(holder.slots.values()):  # what was read ahead is not taken any more
                 slot.complete(b"+late\r\n")
-            assert len(holder.slots) == clients.MOST_WAITING
+            assert len(holder.slots) == client_connection.MAX_PENDING_REPLIES
 
     in_loop(scenario)
 
@@ -162,11 +164,11 @@
 
     async def scenario() -> None:
         async with served(memory=16 * 2**20) as (server, holder, port):
-            ask_and_go(port, 4 * clients.MOST_AHEAD)
+            ask_and_go(port, 4 * client_connection.MAX_READ_AHEAD_BYTES)
             async with asyncio.timeout(5):
                 await until(lambda: holder.slots and not server.connections)
             assert sorted(holder.gone) == sorted(holder.slots)
-            assert len(holder.slots) == clients.MOST_WAITING and server.ahead == 0
+            assert len(holder.slots) == client_connection.MAX_PENDING_REPLIES and server.read_ahead_bytes == 0
 
     in_loop(scenario)
 
@@ -180,15 +182,20 @@
             peer = await connect(port)
             ids = [b"%05d" % number for number in range(10_000)]
             peer.writer.write(b"".join(encode(*request(id)) for id in ids))
-            await until(lambda: holder.slots and not next(iter(server.connections)).reading)
+            await until(lambda: holder.slots and not next(iter(server.connections)).is_reading)
             (connection,) = server.connections
-            most = max(clients.MOST_AHEAD, server.most_ahead)
-            assert most < connection.reader.held == server.ahead <= most + clients.READ_BYTES
+            most = max(client_connection.MAX_READ_AHEAD_BYTES, server.max_read_ahead_bytes)
+            assert (
+                most
+                < connection.command_parser.buffered_bytes
+                == server.read_ahead_bytes
+                <= most + client_listener.RECEIVE_BUFFER_BYTES
+            )
             for id in ids:  # and all of it is answered once there is room
                 await until(lambda id=id: id.decode() in holder.slots)  # type: ignore[misc]
                 holder.slots[id.decode()].complete(encode(id))
             assert [await peer.receive() for _ in ids] == [[id] for id in ids]
-            assert server.ahead == 0
+            assert server.read_ahead_bytes == 0
 
     in_loop(scenario)
 
@@ -196,17 +203,22 @@
 @pytest.mark.parametrize("seen_by", ["a sweep", "a look"])
 def test_an_end_behind_what_may_not_be_read_is_seen(seen_by: str, monkeypatch: pytest.MonkeyPatch) -> None:
     """It has come as far as this machine, where all that may be read ahead is taken up."""
-    monkeypatch.setattr(clients, "SWEEP_MS", 20.0 if seen_by == "a sweep" else 1e9)
+    monkeypatch.setattr(client_listener, "SWEEP_INTERVAL_MS", 20.0 if seen_by == "a sweep" else 1e9)
 
     async def scenario() -> None:
         async with served(memory=0) as (server, holder, port):
             gone, stays = await connect(port), await connect(port)
             flood = b"".join(encode(*request(b"g%04d" % number)) for number in range(1_700))
-            assert len(flood) > clients.MOST_AHEAD + clients.READ_BYTES + clients.MOST_WAITING * 110
+            assert (
+                len(flood)
+                > client_connection.MAX_READ_AHEAD_BYTES
+                + client_listener.RECEIVE_BUFFER_BYTES
+                + client_connection.MAX_PENDING_REPLIES * 110
+            )
             gone.writer.write(flood)
             stays.writer.write(flood.replace(b"g0", b"s0").replace(b"g1", b"s1"))
             await until(lambda: len(server.connections) == 2)
-            await until(lambda: not any(connection.reading for connection in server.connections))
+            await until(lambda: not any(connection.is_reading for connection in server.connections))
             slots = list(holder.slots.values())
             gone.close()
 
@@ -218,7 +230,9 @@
 
             async with asyncio.timeout(5):
                 await until(seen)
-            assert sorted(holder.gone) == [f"g{number:04}" for number in range(clients.MOST_WAITING)]
+            assert sorted(holder.gone) == [
+                f"g{number:04}" for number in range(client_connection.MAX_PENDING_REPLIES)
+            ]
             for _ in range(20):
                 assert seen()  # the other one stays, whose requests lie as deep
                 await asyncio.sleep(0.002)
@@ -233,13 +247,15 @@
         async with served(memory=16 * 2**20) as (server, holder, port):
             peer, count = await connect(port), 10_000
             peer.writer.write(b"".join(encode(*request(b"%05d" % number)) for number in range(count)))
-            await until(lambda: server.ahead > 7 * clients.MOST_AHEAD)
+            await until(lambda: server.read_ahead_bytes > 7 * client_connection.MAX_READ_AHEAD_BYTES)
             holder.reply = b"-BUSY\r\n"
             (connection,) = server.connections
             for slot in list(holder.slots.values()):
                 slot.complete(b"-BUSY\r\n")
-            await until(lambda: len(holder.slots) == count and server.ahead == 0)
-            assert sys.getsizeof(connection.reader._buffer) < 2 * (MOST_TAKEN + clients.READ_BYTES)
+            await until(lambda: len(holder.slots) == count and server.read_ahead_bytes == 0)
+            assert sys.getsizeof(connection.command_parser._buffer) < 2 * (
+                COMPACTION_THRESHOLD_BYTES + client_listener.RECEIVE_BUFFER_BYTES
+            )
 
     in_loop(scenario)
 
@@ -248,22 +264,33 @@
     """Each may go on with its own part; one that has more goes on once others have left room."""
 
     async def scenario() -> None:
-        async with served(memory=8 * clients.MOST_AHEAD) as (server, holder, port):
+        async with served(memory=8 * client_connection.MAX_READ_AHEAD_BYTES) as (server, holder, port):
             flood = b"".join(encode(*request(b"%05d" % number)) for number in range(10_000))
             first, second = await connect(port), await connect(port)
             first.writer.write(flood)
-            await until(lambda: server.connections and not next(iter(server.connections)).reading)
+            await until(lambda: server.connections and not next(iter(server.connections)).is_reading)
             second.writer.write(flood)
             await until(lambda: len(server.connections) == 2)
             one, other = server.connections
-            await until(lambda: not one.reading and not other.reading)
-            assert one.reader.held + other.reader.held == server.ahead
-            assert server.most_ahead < server.ahead <= server.most_ahead + clients.MOST_AHEAD + 65536
-            assert clients.MOST_AHEAD < other.reader.held <= clients.MOST_AHEAD + clients.READ_BYTES
+            await until(lambda: not one.is_reading and not other.is_reading)
+            assert (
+                one.command_parser.buffered_bytes + other.command_parser.buffered_bytes
+                == server.read_ahead_bytes
+            )
+            assert (
+                server.max_read_ahead_bytes
+                < server.read_ahead_bytes
+                <= server.max_read_ahead_bytes + client_connection.MAX_READ_AHEAD_BYTES + 65536
+            )
+            assert (
+                client_connection.MAX_READ_AHEAD_BYTES
+                < other.command_parser.buffered_bytes
+                <= client_connection.MAX_READ_AHEAD_BYTES + client_listener.RECEIVE_BUFFER_BYTES
+            )
             one.close()
-            await until(lambda: other.reader.held > server.most_ahead)
+            await until(lambda: other.command_parser.buffered_bytes > server.max_read_ahead_bytes)
             other.close()
-            assert server.ahead == 0
+            assert server.read_ahead_bytes == 0
 
     in_loop(scenario)
 
@@ -548,7 +575,7 @@
 
     async def scenario() -> None:
         async with served() as (server, holder, port):
-            ids = [b"%03d" % number for number in range(2 * clients.TAKEN_AT_ONCE)]
+            ids = [b"%03d" % number for number in range(2 * client_listener.ACCEPTS_PER_TURN)]
             waiting = [knock(port, encode(*request(id))) for id in ids]
             assert not server.connections
             server.begin_shutdown()
@@ -588,7 +615,7 @@
             command = encode(*request(b"second"))
             peer = await connect(port)
             peer.writer.write(ahead + command[:-20])
-            await until(lambda: any(c.reader.held for c in server.connections))
+            await until(lambda: any(c.command_parser.buffered_bytes for c in server.connections))
             server.begin_shutdown()
             if ahead:
                 holder.slots["first"].complete(encode(b"yes"))
