--- /dev/null
+++ b/tests/network/test_resp_commands.py
@@ -0,0 +1,105 @@
+"""Which bytes of clients are commands, over loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tests.support.loopback import Backend, World, encode, in_loop, request, running
+from tests.support.replies import is_error
+
+
+def test_a_command_may_come_byte_by_byte() -> None:
+    async def scenario() -> None:
+        async with running(World(Backend())) as world:
+            peer = await world.client()
+
+            for byte in encode(*request(b"one")):
+                peer.writer.write(bytes([byte]))
+                await peer.writer.drain()
+                await asyncio.sleep(0)
+
+            assert await peer.receive() == b"value"
+
+    in_loop(scenario)
+
+
+def test_many_commands_may_come_together() -> None:
+    async def scenario() -> None:
+        async with running(World(Backend())) as world:
+            peer = await world.client()
+            numbers = [b"%d" % n for n in range(100)]
+
+            peer.writer.write(b"".join(encode(b"PING", n) for n in numbers) + encode(*request(b"two")))
+
+            assert [await peer.receive() for _ in range(101)] == [*numbers, b"value"]
+
+    in_loop(scenario)
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"x" * 50,
+        b"\r\n",
+        b"*-1\r\n",
+        b"*0\r\n",
+        b"*1000\r\n",
+        b"*+1\r\n",
+        b"*1\r\n$-1\r\n",
+        b"*1\r\n$65537\r\n",
+        b"*2\r\n$60000\r\n" + b"x" * 60_000 + b"\r\n$60000\r\n",
+        b"*1\r\n$62914560\r\n",
+        b"*1\r\n$3\r\nPINGS",
+        b"*1\r\n:3\r\n",
+        b"*1\r\n*1\r\n",
+        b"$" + b"1" * 50,
+    ],
+)
+def test_what_can_become_no_command_is_rejected_at_once(data: bytes) -> None:
+    """Not only at the end of a line that may never end, or once 60 MB have come."""
+
+    async def scenario() -> None:
+        async with running(World(Backend())) as world:
+            peer = await world.client()
+
+            peer.writer.write(data)
+
+            assert is_error(await peer.receive())
+            assert await peer.receive() is None
+
+    in_loop(scenario)
+
+
+@pytest.mark.parametrize("data", [b"*5\r\n$999999\r\n" + b"x" * 200_000, b"*4294967294\r\n$1\r\na\r\n"])
+def test_a_command_beyond_all_bounds_ends_only_its_own_connection(data: bytes) -> None:
+    async def scenario() -> None:
+        async with running(World(Backend())) as world:
+            good = await world.client()
+            bad = await world.client()
+
+            bad.writer.write(data)
+
+            assert is_error(await bad.receive())
+            assert await bad.receive() is None
+            assert await world.ask(good) == b"value"
+
+    in_loop(scenario)
+
+
+def test_many_small_commands_in_one_read_are_all_answered() -> None:
+    """Taken by calls within calls, each round of waiting commands would deepen the stack."""
+
+    async def scenario() -> None:
+        async with running(World(Backend())) as world:
+            peer = await world.client()
+            count = 60_000
+
+            peer.writer.write(encode(b"") * count)
+
+            for _ in range(count):
+                assert is_error(await peer.receive())
+            assert await world.ask(peer) == b"value"
+
+    in_loop(scenario)
