--- a/gateway/network/dispatcher.py
+++ b/gateway/network/dispatcher.py
@@ -36,10 +36,11 @@
 )
 from ..policy.settings import Settings
 from .backend_pool import Attempt, BackendPool
-from .client_listener import ClientRequest, PendingReply
 from .counter_client import CounterClient
 from .endpoint_list import ListedEndpoint
-from .resp import bulk
+from .pending_reply import PendingReply
+from .request_parser import ClientRequest
+from .resp import encode_bulk_string
 from .timers import Timer, TimerQueue, now_ms
 
 log = logging.getLogger(__name__)
@@ -175,7 +176,7 @@
         """Deliver a client's request, or reject it if its id is in use or too many requests are open."""
         request_id = client_request.id
         if request_id in self.open_requests or self._has_attempt_in_flight(request_id):
-            pending_reply.request = None  # the id stands for the earlier request
+            pending_reply.open_request_id = None  # the id stands for the earlier request
             pending_reply.complete(ID_IN_USE_REPLY)
             return
         if self.is_stopping or len(self.open_requests) >= self.max_open_requests:
@@ -186,11 +187,11 @@
             request_class=client_request.request_class,
             plan=client_request.plan,
             customer=client_request.customer,
-            deadline=now_ms() + client_request.wait,
-            cost=client_request.units,
-            gateway_set_size=client_request.spread,
-            gateway_set_start=client_request.first,
-            is_retry=client_request.repeat,
+            deadline=now_ms() + client_request.remaining_ms,
+            cost=client_request.cost,
+            gateway_set_size=client_request.gateway_set_size,
+            gateway_set_start=client_request.gateway_set_start,
+            is_retry=client_request.is_retry,
         )
         request = OpenRequest(client_request, pending_reply, event.deadline)
         self.open_requests[request_id] = request
@@ -235,7 +236,7 @@
         del self.attempts[request_id, number]
         del request.attempts_in_flight[number]
         if outcome is Outcome.OK:
-            self._reply(request_id, bulk(value))
+            self._reply(request_id, encode_bulk_string(value))
         is_finished = self.open_requests.get(request_id) is not request
         if is_finished:
             self._cancel_deadline_timer(request)
--- a/gateway/network/gateway_server.py
+++ b/gateway/network/gateway_server.py
@@ -19,7 +19,7 @@
 from ..policy.settings import SafetyRules
 from .backend_pool import BackendPool
 from .backoff import Backoff
-from .client_listener import ClientListener, RequestParser
+from .client_listener import ClientLimits, ClientListener
 from .configuration import GatewayConfig, load_config
 from .counter_client import CounterClient
 from .descriptor_budget import budget_descriptors
@@ -27,6 +27,7 @@
 from .endpoint_list import EndpointListError, parse_endpoint_list
 from .endpoint_watch import EndpointWatcher
 from .reload import ReloadSignal, reload_addresses
+from .request_parser import RequestParser
 from .shutdown_schedule import ShutdownSchedule
 from .timers import TimerQueue
 
@@ -238,8 +239,7 @@
             self._timers,
             self._dispatcher,
             RequestParser(self._config.settings),
-            self._budget.client_connections,
-            self._buffer_bytes,
+            ClientLimits(max_connections=self._budget.client_connections, memory_bytes=self._buffer_bytes),
         )
 
 
--- a/tests/network/test_client_endings.py
+++ b/tests/network/test_client_endings.py
@@ -9,8 +9,8 @@
 
 import pytest
 
-from gateway.network import client_listener
-from gateway.network.resp import MOST_TAKEN
+from gateway.network import client_connection, client_listener
+from gateway.network.resp_commands import COMPACTION_THRESHOLD_BYTES
 from tests.support.clients import as_peer, connect, connect_at_once, running_listener
 from tests.support.loopback import LOCAL, encode, in_loop, request, until
 from tests.support.manual_server import reset
@@ -23,10 +23,10 @@
     async def scenario() -> None:
         async with running_listener() as (listener, handler, port):
             peer = await connect(port)
-            count = client_listener.MOST_WAITING * (1 if behind else 3)
+            count = client_connection.MAX_PENDING_REPLIES * (1 if behind else 3)
             ids = [b"%04d" % number for number in range(count)]
             peer.writer.write(b"".join(encode(*request(id)) for id in ids) + behind)
-            await until(lambda: len(handler.pending) == client_listener.MOST_WAITING)
+            await until(lambda: len(handler.pending) == client_connection.MAX_PENDING_REPLIES)
 
             peer.close()
             await until(lambda: not listener.connections)
@@ -34,7 +34,7 @@
             assert sorted(handler.disconnected) == sorted(handler.pending)
             for reply in list(handler.pending.values()):  # what was read ahead is not processed any more
                 reply.complete(b"+late\r\n")
-            assert len(handler.pending) == client_listener.MOST_WAITING
+            assert len(handler.pending) == client_connection.MAX_PENDING_REPLIES
 
     in_loop(scenario)
 
@@ -58,13 +58,13 @@
 
     async def scenario() -> None:
         async with running_listener(memory=16 * 2**20) as (listener, handler, port):
-            send_backlog_and_close(port, 4 * client_listener.MOST_AHEAD)
+            send_backlog_and_close(port, 4 * client_connection.MAX_READ_AHEAD_BYTES)
             async with asyncio.timeout(5):
                 await until(lambda: handler.pending and not listener.connections)
 
             assert sorted(handler.disconnected) == sorted(handler.pending)
-            assert len(handler.pending) == client_listener.MOST_WAITING
-            assert listener.ahead == 0
+            assert len(handler.pending) == client_connection.MAX_PENDING_REPLIES
+            assert listener.read_ahead_bytes == 0
 
     in_loop(scenario)
 
@@ -79,17 +79,17 @@
             ids = [b"%05d" % number for number in range(10_000)]
 
             peer.writer.write(b"".join(encode(*request(id)) for id in ids))
-            await until(lambda: handler.pending and not next(iter(listener.connections)).reading)
+            await until(lambda: handler.pending and not next(iter(listener.connections)).is_reading)
 
             (connection,) = listener.connections
-            limit = max(client_listener.MOST_AHEAD, listener.most_ahead)
-            assert connection.reader.held == listener.ahead
-            assert limit < listener.ahead <= limit + client_listener.READ_BYTES
+            limit = max(client_connection.MAX_READ_AHEAD_BYTES, listener.max_read_ahead_bytes)
+            assert connection.command_parser.buffered_bytes == listener.read_ahead_bytes
+            assert limit < listener.read_ahead_bytes <= limit + client_listener.RECEIVE_BUFFER_BYTES
             for id in ids:  # and all of it is answered once there is capacity
                 await until(lambda id=id: id.decode() in handler.pending)  # type: ignore[misc]
                 handler.pending[id.decode()].complete(encode(id))
             assert [await peer.receive() for _ in ids] == [[id] for id in ids]
-            assert listener.ahead == 0
+            assert listener.read_ahead_bytes == 0
 
     in_loop(scenario)
 
@@ -99,19 +99,19 @@
     detected_by: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """It has come as far as this machine, where all that may be read ahead is taken up."""
-    monkeypatch.setattr(client_listener, "SWEEP_MS", 20.0 if detected_by == "a sweep" else 1e9)
+    monkeypatch.setattr(client_listener, "SWEEP_INTERVAL_MS", 20.0 if detected_by == "a sweep" else 1e9)
 
     async def scenario() -> None:
         async with running_listener(memory=0) as (listener, handler, port):
             leaving = await connect(port)
             staying = await connect(port)
             flood = b"".join(encode(*request(b"g%04d" % number)) for number in range(1_700))
-            readable = client_listener.MOST_AHEAD + client_listener.READ_BYTES
-            assert len(flood) > readable + client_listener.MOST_WAITING * 110
+            readable = client_connection.MAX_READ_AHEAD_BYTES + client_listener.RECEIVE_BUFFER_BYTES
+            assert len(flood) > readable + client_connection.MAX_PENDING_REPLIES * 110
             leaving.writer.write(flood)
             staying.writer.write(flood.replace(b"g0", b"s0").replace(b"g1", b"s1"))
             await until(lambda: len(listener.connections) == 2)
-            await until(lambda: not any(connection.reading for connection in listener.connections))
+            await until(lambda: not any(connection.is_reading for connection in listener.connections))
             replies = list(handler.pending.values())
 
             leaving.close()
@@ -124,7 +124,7 @@
 
             async with asyncio.timeout(5):
                 await until(is_detected)
-            expected = [f"g{number:04}" for number in range(client_listener.MOST_WAITING)]
+            expected = [f"g{number:04}" for number in range(client_connection.MAX_PENDING_REPLIES)]
             assert sorted(handler.disconnected) == expected
             for _ in range(20):
                 assert is_detected()  # the other one stays, whose requests lie as deep
@@ -141,16 +141,16 @@
             peer = await connect(port)
             count = 10_000
             peer.writer.write(b"".join(encode(*request(b"%05d" % number)) for number in range(count)))
-            await until(lambda: listener.ahead > 7 * client_listener.MOST_AHEAD)
+            await until(lambda: listener.read_ahead_bytes > 7 * client_connection.MAX_READ_AHEAD_BYTES)
 
             handler.immediate_reply = b"-BUSY\r\n"
             (connection,) = listener.connections
             for reply in list(handler.pending.values()):
                 reply.complete(b"-BUSY\r\n")
-            await until(lambda: len(handler.pending) == count and listener.ahead == 0)
+            await until(lambda: len(handler.pending) == count and listener.read_ahead_bytes == 0)
 
-            kept = sys.getsizeof(connection.reader._buffer)
-            assert kept < 2 * (MOST_TAKEN + client_listener.READ_BYTES)
+            kept = sys.getsizeof(connection.command_parser._buffer)
+            assert kept < 2 * (COMPACTION_THRESHOLD_BYTES + client_listener.RECEIVE_BUFFER_BYTES)
 
     in_loop(scenario)
 
@@ -159,26 +159,33 @@
     """Each may go on with its own part; one that has more goes on once others have left capacity."""
 
     async def scenario() -> None:
-        limit = client_listener.MOST_AHEAD
+        limit = client_connection.MAX_READ_AHEAD_BYTES
         async with running_listener(memory=8 * limit) as (listener, _handler, port):
             flood = b"".join(encode(*request(b"%05d" % number)) for number in range(10_000))
             first = await connect(port)
             second = await connect(port)
 
             first.writer.write(flood)
-            await until(lambda: listener.connections and not next(iter(listener.connections)).reading)
+            await until(lambda: listener.connections and not next(iter(listener.connections)).is_reading)
             second.writer.write(flood)
             await until(lambda: len(listener.connections) == 2)
             one, other = listener.connections
-            await until(lambda: not one.reading and not other.reading)
-
-            assert one.reader.held + other.reader.held == listener.ahead
-            assert listener.most_ahead < listener.ahead <= listener.most_ahead + limit + 65536
-            assert limit < other.reader.held <= limit + client_listener.READ_BYTES
+            await until(lambda: not one.is_reading and not other.is_reading)
+
+            assert (
+                one.command_parser.buffered_bytes + other.command_parser.buffered_bytes
+                == listener.read_ahead_bytes
+            )
+            assert (
+                listener.max_read_ahead_bytes
+                < listener.read_ahead_bytes
+                <= listener.max_read_ahead_bytes + limit + 65536
+            )
+            assert limit < other.command_parser.buffered_bytes <= limit + client_listener.RECEIVE_BUFFER_BYTES
             one.close()
-            await until(lambda: other.reader.held > listener.most_ahead)
+            await until(lambda: other.command_parser.buffered_bytes > listener.max_read_ahead_bytes)
             other.close()
-            assert listener.ahead == 0
+            assert listener.read_ahead_bytes == 0
 
     in_loop(scenario)
 
--- a/tests/network/test_process_endings.py
+++ b/tests/network/test_process_endings.py
@@ -15,7 +15,7 @@
 
     async def scenario() -> None:
         async with running_listener() as (listener, handler, port):
-            ids = [b"%03d" % number for number in range(2 * client_listener.TAKEN_AT_ONCE)]
+            ids = [b"%03d" % number for number in range(2 * client_listener.ACCEPTS_PER_TURN)]
             clients = [connect_at_once(port, encode(*request(id))) for id in ids]
             assert not listener.connections
 
@@ -60,7 +60,9 @@
             command = encode(*request(b"second"))
             peer = await connect(port)
             peer.writer.write(ahead + command[:-20])
-            await until(lambda: any(connection.reader.held for connection in listener.connections))
+            await until(
+                lambda: any(connection.command_parser.buffered_bytes for connection in listener.connections)
+            )
 
             listener.begin_shutdown()
             if ahead:
--- a/tests/support/clients.py
+++ b/tests/support/clients.py
@@ -9,9 +9,11 @@
 from dataclasses import dataclass, field
 
 from gateway.network.backend_pool import BackendPool
-from gateway.network.client_listener import ClientListener, ClientRequest, PendingReply, RequestParser
+from gateway.network.client_listener import ClientLimits, ClientListener
 from gateway.network.counter_client import CounterClient
 from gateway.network.dispatcher import Dispatcher
+from gateway.network.pending_reply import PendingReply
+from gateway.network.request_parser import ClientRequest, RequestParser
 from gateway.network.timers import TimerQueue
 from gateway.policy.settings import Idempotency, Plan, RequestClass
 from tests.support.loopback import LOCAL, Peer
@@ -45,7 +47,7 @@
     """A client listener with a recording handler, and its port."""
     loop = asyncio.get_running_loop()
     handler = RecordingHandler()
-    listener = ClientListener(loop, TimerQueue(loop), handler, PARSER, max_connections, memory)
+    listener = ClientListener(loop, TimerQueue(loop), handler, PARSER, ClientLimits(max_connections, memory))
     port = listener.listen(LOCAL, 0)
     yield listener, handler, port
     listener.begin_shutdown()
@@ -71,7 +73,7 @@
         max_open_requests=max_connections,
     )
     dispatcher.policy = policy  # type: ignore[assignment]
-    listener = ClientListener(loop, timers, dispatcher, PARSER, max_connections, 1_000_000)
+    listener = ClientListener(loop, timers, dispatcher, PARSER, ClientLimits(max_connections, 1_000_000))
     yield dispatcher, policy, listener, listener.listen(LOCAL, 0)
     listener.begin_shutdown()
     listener.close()
