Name the endpoint watch's tests in the field's words and check its log line

Tests follow the arrange, act, assert order, and composite asserts are split. New: the end of a watch is logged with its peer and what follows.

--- a/tests/network/test_endpoint_watch.py
+++ b/tests/network/test_endpoint_watch.py
@@ -1,10 +1,12 @@
-"""Following the list of backends, over loopback sockets."""
+"""Watching the endpoint list, over loopback sockets."""
 
 from __future__ import annotations
 
 import asyncio
 import json
+import logging
 import random
+import re
 from collections import Counter
 from typing import Any
 
@@ -24,16 +26,20 @@
 from tests.support.loopback import LOCAL, Backend, Discovery, Watch, World, host, in_loop, running, until
 from tests.support.policy_harness import settings
 
+LIST_LENGTH = 1_000  # endpoints, far more than are delivered in one turn
+
 
 def test_deltas_are_followed_from_the_known_version_on() -> None:
     async def scenario() -> None:
         async with Watch() as watch:
             await watch.watched(1)
-            assert watch.service.requests == ["/catalog/members?stream=1&index=41"]
+
             watch.service.say(b"")
             watch.service.change(42, host("h0", 1, "draining"))
             watch.service.change(43, host("h1", 1), whole=True)
             await until(lambda: len(watch.heard) == 2)
+
+            assert watch.service.requests == ["/catalog/members?stream=1&index=41"]
             assert watch.heard == [
                 (UpdateKind.DELTA, [(backend_id_of("h0"), EndpointState.DRAINING)]),
                 (UpdateKind.SNAPSHOT, [(backend_id_of("h1"), EndpointState.READY)]),
@@ -46,10 +52,11 @@
     async def scenario() -> None:
         async with Watch(version=None) as watch:
             watch.service.whole = {"seq": 7, "whole": True, "hosts": [host("h0", 1)]}
+
             await watch.watched(1)
-            assert watch.service.requests[0] == "/catalog/members"
-            assert watch.service.requests[1] == "/catalog/members?stream=1&index=7"
-            assert [scope for scope, _ in watch.heard] == [UpdateKind.SNAPSHOT]
+
+            assert watch.service.requests == ["/catalog/members", "/catalog/members?stream=1&index=7"]
+            assert [kind for kind, _ in watch.heard] == [UpdateKind.SNAPSHOT]
 
     in_loop(scenario)
 
@@ -60,15 +67,37 @@
             await watch.watched(1)
             watch.service.change(50, host("h0", 1))
             await until(lambda: watch.heard)
+
             watch.service.hang_up()
             await watch.watched(2)
+
             assert watch.service.requests[-1] == "/catalog/members?stream=1&index=50"
 
     in_loop(scenario)
 
 
+def test_end_of_a_watch_is_logged_with_peer_and_consequence(caplog: pytest.LogCaptureFixture) -> None:
+    caplog.set_level(logging.INFO)
+
+    async def scenario() -> None:
+        async with Watch() as watch:
+            await watch.watched(1)
+
+            watch.service.hang_up()
+            await watch.watched(2)
+
+            pattern = (
+                rf"watch of {LOCAL}:{watch.service.port} failed "
+                r"\(RemoteProtocolError: peer closed connection .*\) "
+                r"after \d+\.\d s; reopening in 0\.1 s"
+            )
+            assert any(re.fullmatch(pattern, message) for message in caplog.messages)
+
+    in_loop(scenario)
+
+
 def test_silent_watch_is_reopened(monkeypatch: pytest.MonkeyPatch) -> None:
-    """A cut off machine says nothing, and the list would stay as it was for ever."""
+    """A host that is cut off sends no end, and the list would stay as it was for ever."""
     monkeypatch.setattr(endpoint_stream, "SILENCE_TIMEOUT_S", 0.05)
 
     async def scenario() -> None:
@@ -82,10 +111,12 @@
     async def scenario() -> None:
         async with Watch() as watch:
             await watch.watched(1)
+
             watch.service.change(42, {"host": "h0"})
-            await until(lambda: "/catalog/members" in watch.service.requests)
             await watch.watched(2)
-            assert [scope for scope, _ in watch.heard] == [] or watch.heard[0][0] is UpdateKind.SNAPSHOT
+
+            assert watch.service.requests[1] == "/catalog/members"
+            assert [kind for kind, _ in watch.heard] == [UpdateKind.SNAPSHOT]
 
     in_loop(scenario)
 
@@ -105,8 +136,10 @@
 
             watch.listener = fail_once
             watch.service.whole = {"seq": 43, "whole": True, "hosts": [host("h1", 1)]}
+
             watch.service.change(42, host("h0", 1))
             await watch.watched(2)
+
             assert watch.heard == [(UpdateKind.SNAPSHOT, [(backend_id_of("h1"), EndpointState.READY)])]
 
     in_loop(scenario)
@@ -130,7 +163,8 @@
 
 
 def test_host_name_has_one_backend_id() -> None:
-    assert backend_id_of("s-5be2a07c") == backend_id_of("s-5be2a07c") != backend_id_of("s-5be2a07d")
+    assert backend_id_of("s-5be2a07c") == backend_id_of("s-5be2a07c")
+    assert backend_id_of("s-5be2a07c") != backend_id_of("s-5be2a07d")
 
 
 def test_draining_backend_gets_no_new_requests_and_a_new_one_does() -> None:
@@ -141,8 +175,9 @@
         async with running(world):
             peer = await world.client()
             assert await world.ask(peer) == b"value"
+
             world.discovery.change(42, host("h0", first.port, "draining"), host("h9", second.port))
-            await until(lambda: first.ended)  # the idle connection goes as the change is heard
+            await until(lambda: first.ended)  # the idle connection closes as the delta is applied
             for number in range(3):
                 assert await world.ask(peer, id=b"%d" % number) == b"value"
 
@@ -157,24 +192,29 @@
     async def scenario() -> None:
         async with Watch() as watch:
             await watch.watched(1)
-            for turn in range(2):  # also a second time
-                new = Discovery()
-                new.whole = {"seq": 7, "whole": True, "hosts": [host(f"h{turn}", 1)]}
-                await new.start()
-                watch.client.move_to((LOCAL, new.port))
-                await until(lambda: new.watches)  # noqa: B023
-                assert new.requests == ["/catalog/members", "/catalog/members?stream=1&index=7"]
-                assert watch.heard[-1] == (
-                    UpdateKind.SNAPSHOT,
-                    [(backend_id_of(f"h{turn}"), EndpointState.READY)],
-                )
-                await until(lambda: not watch.service.open)
-                await watch.service.stop()
-                watch.service = new
+            await check_move(watch, "h0")
+            await check_move(watch, "h1")  # a second move is as good
 
     in_loop(scenario)
 
 
+async def check_move(watch: Watch, new_host: str) -> None:
+    """Move a watch to a new discovery that lists one host, and close the old discovery."""
+    old_discovery = watch.service
+    new_discovery = Discovery()
+    new_discovery.whole = {"seq": 7, "whole": True, "hosts": [host(new_host, 1)]}
+    await new_discovery.start()
+
+    watch.client.move_to((LOCAL, new_discovery.port))
+    watch.service = new_discovery
+    await watch.watched(1)
+
+    assert new_discovery.requests == ["/catalog/members", "/catalog/members?stream=1&index=7"]
+    assert watch.heard[-1] == (UpdateKind.SNAPSHOT, [(backend_id_of(new_host), EndpointState.READY)])
+    await until(lambda: not old_discovery.open)
+    await old_discovery.stop()
+
+
 def test_move_does_not_wait_for_the_next_reopening() -> None:
     async def scenario() -> None:
         async with Watch(reopen_after_s=3600.0) as watch:
@@ -185,6 +225,8 @@
             watch.client.move_to((LOCAL, watch.service.port))
             await watch.watched(2)
 
+            assert watch.service.requests[1:] == ["/catalog/members", "/catalog/members?stream=1&index=1"]
+
     in_loop(scenario)
 
 
@@ -226,9 +268,6 @@
     in_loop(scenario)
 
 
-LIST_LENGTH = 1_000  # endpoints, far more than are delivered in one turn
-
-
 def long_list(seq: int, health: str = "up") -> dict[str, Any]:
     return {
         "seq": seq,
@@ -255,8 +294,9 @@
                 turns_at.append(turns)
 
             watch.listener = note_part
-            listed = long_list(7)
-            watch.service.whole = {name: listed[name] for name in order}
+            message = long_list(7)
+            watch.service.whole = {name: message[name] for name in order}
+
             while not watch.client.snapshot_received.is_set():
                 await asyncio.sleep(0)
                 turns += 1
@@ -265,7 +305,7 @@
             assert max(count for count, _, _ in parts) <= ENDPOINTS_PER_TURN
             assert [first for _, first, _ in parts] == [True] + [False] * (len(parts) - 1)
             assert [last for _, _, last in parts] == [False] * (len(parts) - 1) + [True]
-            assert max(Counter(turns_at).values()) <= 2, "the event loop turns between them"
+            assert max(Counter(turns_at).values()) <= 2, "the event loop runs between parts"
 
     in_loop(scenario)
 
@@ -283,6 +323,7 @@
                 endpoints_by_turn[turns] += len(endpoints)
 
             watch.listener = count_endpoints
+
             for number in range(LIST_LENGTH):
                 watch.service.change(42 + number, host(f"h{number}", 1))
             while endpoints_by_turn.total() < LIST_LENGTH:
@@ -295,7 +336,7 @@
 
 
 def test_long_list_that_is_cut_short_puts_nothing_new_in_force() -> None:
-    """The first parts of it are with the module by then; the list that is whole comes next."""
+    """Its first parts are with the policy by then; a complete snapshot follows."""
 
     async def scenario() -> None:
         async with Watch() as watch:
@@ -314,13 +355,14 @@
             broken = long_list(43)
             broken["hosts"][-1] = {"host": "h"}
             watch.service.whole = {"seq": 44, "whole": True, "hosts": [host("good", 1)]}
+
             watch.service.say(json.dumps(broken).encode())
             await watch.watched(2)
 
             assert len(last_flags) > 2
             assert last_flags[-1]
             assert not any(last_flags[:-1])
-            assert [b.id for b in gateway.subset] == [backend_id_of("good")]
+            assert [backend.id for backend in gateway.subset] == [backend_id_of("good")]
 
     in_loop(scenario)
 
@@ -331,18 +373,19 @@
         world = World(first)
         await second.start()
         async with running(world):
-            twice = host("h0", first.port), host("h0", first.port, "draining")
-            world.discovery.change(42, *twice, host("h9", second.port), whole=True)
             peer = await world.client()
+
+            ready_then_draining = [host("h0", first.port), host("h0", first.port, "draining")]
+            world.discovery.change(42, *ready_then_draining, host("h9", second.port), whole=True)
             while not second.got:
                 assert await world.ask(peer, id=b"%d" % len(first.got)) == b"value"
-            count = len(first.got)
+            count_before = len(first.got)
             for number in range(5):
                 assert await world.ask(peer, id=b"x%d" % number) == b"value"
 
-            assert len(first.got) == count
+            assert len(first.got) == count_before
             assert len(second.got) == 6
-            assert len(world.discovery.watches) == 1, "the list was taken"
+            assert len(world.discovery.watches) == 1, "the list was accepted"
         await second.stop()
 
     in_loop(scenario)
--- a/tests/support/loopback.py
+++ b/tests/support/loopback.py
@@ -187,6 +187,8 @@
 
 
 class Discovery(Server):
+    """Answers calls for the endpoint list with `whole`, and keeps watches open for what a test sends."""
+
     def __init__(self) -> None:
         super().__init__()
         self.requests: list[str] = []
@@ -208,13 +210,16 @@
         await reader.read()
 
     def say(self, line: bytes, watch: int = -1) -> None:
+        """Send a line on one of the watches, the newest unless told otherwise."""
         self.watches[watch].write(b"%x\r\n%b\n\r\n" % (len(line) + 1, line))
 
     def change(self, seq: int, *hosts: dict[str, Any], whole: bool = False) -> None:
+        """Send a delta, or a snapshot if `whole`, on the newest watch."""
         self.say(json.dumps({"seq": seq, "whole": whole, "hosts": hosts}).encode())
 
 
 def host(name: str, port: int, health: str = "up", born_ms: float = 0) -> dict[str, Any]:
+    """Return an entry of the endpoint list as discovery sends it."""
     return {
         "host": name,
         "dial": f"{LOCAL}:{port}",
