--- a/gateway/network/endpoint_watch.py
+++ b/gateway/network/endpoint_watch.py
@@ -65,13 +65,13 @@
     """One call to discovery, from its connection to its end."""
 
     address: Address
-    version: int | None  # of the list whose changes are asked for; None: of none, and it ends with a snapshot
+    version: int | None  # the changes after it are requested; None requests a snapshot, which ends the call
     opened_at: float
     task: asyncio.Task[CallEnd] | None = None
     is_answered: bool = False
 
     def cancel(self) -> None:
-        """Close the connection, without a word about its end."""
+        """Close the connection; a cancelled call is not logged."""
         if self.task is not None:
             self.task.cancel()
 
