Split the tests of the process by what they test, and name them by behaviour

Each module has a test file now, what starts a process lies in tests/support, builders are fixtures or context managers, composite asserts are split.

--- /dev/null
+++ b/tests/network/test_gateway_server.py
@@ -0,0 +1,74 @@
+"""The life cycle of a whole gateway within the tests' own process."""
+
+from __future__ import annotations
+
+import pytest
+
+from gateway.network.configuration import parse_config
+from gateway.network.endpoint_watch import EndpointWatcher
+from gateway.network.gateway_server import GatewayServer
+from gateway.network.shutdown_schedule import ShutdownSchedule
+from tests.support.loopback import Backend, Reply, World, in_loop, request, running, until
+
+
+def test_requests_open_at_the_end_of_shutdown_are_failed_rather_than_lost() -> None:
+    """SIGKILL would leave the client without a reply; the request may have run, so it is not rejected."""
+    schedule = ShutdownSchedule(keep_serving_s=0.05, fail_requests_s=0.1)
+
+    async def silent(_command: list[bytes]) -> Reply:
+        return None
+
+    async def scenario() -> None:
+        backend = Backend(silent)
+        async with running(World(backend), schedule) as world:
+            peer = await world.client()
+            peer.send(*request())
+            await until(lambda: backend.got)
+
+            world.stop.set()
+
+            assert str(await peer.receive()) == "ERR failed"
+            assert await peer.receive() is None
+
+    in_loop(scenario)
+
+
+def test_open_connections_are_served_while_draining() -> None:
+    """This gateway's place is empty until it is back."""
+    schedule = ShutdownSchedule(keep_serving_s=0.3, fail_requests_s=0.6)
+
+    async def scenario() -> None:
+        async with running(World(Backend()), schedule) as world:
+            peer = await world.client()
+
+            world.stop.set()
+
+            served = 0
+            while await world.ask(peer, id=b"%d" % served) == b"value":
+                served += 1
+            assert served > 1
+
+    in_loop(scenario)
+
+
+def test_failed_watch_of_the_endpoint_list_ends_the_run(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A visible crash is better than a list that grows outdated unseen."""
+
+    async def fail(_watcher: EndpointWatcher) -> None:
+        raise RuntimeError("a fault of the watch")
+
+    monkeypatch.setattr(EndpointWatcher, "run", fail)
+
+    async def scenario() -> None:
+        world = World(Backend())
+        for server in (*world.backends, world.counter, world.discovery):
+            await server.start()
+        gateway = GatewayServer(parse_config(world.config()))
+
+        with pytest.raises(RuntimeError, match="a fault of the watch"):
+            await gateway.run(world.stop)
+
+        for server in (*world.backends, world.counter, world.discovery):
+            await server.stop()
+
+    in_loop(scenario)
--- /dev/null
+++ b/tests/network/test_reload.py
@@ -0,0 +1,58 @@
+"""Reloads of a running gateway's configuration."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from gateway.network.configuration import load_config
+from gateway.network.reload import ReloadSignal, reload_addresses
+from tests.support.invalid_configurations import INVALID_CONFIGURATIONS
+from tests.support.loopback import Watch, in_loop
+
+
+@pytest.mark.parametrize("text", INVALID_CONFIGURATIONS.values(), ids=INVALID_CONFIGURATIONS.keys())
+def test_invalid_configuration_leaves_the_old_one_in_force(
+    tmp_path: Path, text: str, caplog: pytest.LogCaptureFixture
+) -> None:
+    config = tmp_path / "config.json"
+    config.write_text(text, errors="surrogateescape")
+    caplog.set_level("ERROR")
+
+    async def scenario() -> None:
+        async with Watch() as watch:
+            address = watch.client.address
+
+            reload_addresses(lambda: load_config(str(config)), watch.client, None)
+
+            assert watch.client.address == address
+            assert watch.client.version == 41
+
+    in_loop(scenario)
+    assert len(caplog.records) == 1
+    assert "the old configuration stays in force" in caplog.text
+    assert caplog.text.count("\n") == 1
+
+
+def test_signal_before_the_start_is_done_is_handled_once_at_its_end() -> None:
+    handled: list[str] = []
+    reload_signal = ReloadSignal()
+    reload_signal.trigger()
+    reload_signal.trigger()
+
+    reload_signal.connect(lambda: handled.append("early"))
+    reload_signal.connect(lambda: handled.append("late"))
+
+    assert handled == ["early"]
+
+
+def test_each_signal_after_the_start_is_handled_at_once() -> None:
+    handled: list[str] = []
+    reload_signal = ReloadSignal()
+    reload_signal.connect(lambda: handled.append("reload"))
+
+    reload_signal.trigger()
+    reload_signal.trigger()
+
+    assert handled == ["reload", "reload"]
--- a/tests/network/test_starts.py
+++ b/tests/network/test_starts.py
@@ -6,92 +6,133 @@
 import contextlib
 import json
 import math
-import os
 import socket
-import sys
 import time
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 from pathlib import Path
+from typing import Any, NamedTuple
 
 import pytest
 
-from tests.network.test_process import ROOT
+from tests.support.gateway_process import end_process, start_process
 from tests.support.loopback import LOCAL, Discovery, Peer, World, host, in_loop
 
 PROCESSES = 20
-READY_S, SHARE = 10.0, 0.9  # nine in ten restarted processes are ready within 10 s
-GIVEN_UP_S = 30.0  # the bench waits no longer
+READY_SHARE = 0.9
+"""Fraction of restarted processes that have to be ready in time."""
+READY_TIMEOUT_S = 10.0
+"""Seconds in which these have to be ready."""
+LAST_READY_TIMEOUT_S = 30.0
+"""Seconds in which all have to be ready: the bench waits no longer."""
 
 
-class Silent(Discovery):
-    """Calls are taken and never answered."""
+class Readiness(NamedTuple):
+    """How long a process took to give its first reply, and the client that had it (None: never)."""
 
-    async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    after_s: float
+    peer: Peer | None
+
+
+class SilentDiscovery(Discovery):
+    """Accepts calls and never answers."""
+
+    async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:  # noqa: ARG002 - as its base
         await reader.read()
 
 
 @contextlib.asynccontextmanager
-async def discovery(state: str) -> AsyncIterator[int]:
-    """The port of a discovery in this state."""
+async def serving(service: Discovery) -> AsyncIterator[int]:
+    service.whole["hosts"] = listed_hosts()
+    await service.start()
+    try:
+        yield service.port
+    finally:
+        await service.stop()
+
+
+@contextlib.contextmanager
+def closed_port() -> Iterator[int]:
+    """A port where nobody listens, and which nobody else is given."""
+    with socket.socket() as bound:
+        bound.bind((LOCAL, 0))
+        yield bound.getsockname()[1]
+
+
+@contextlib.contextmanager
+def unreachable_port() -> Iterator[int]:
+    """A port whose queue is full: nothing comes back."""
     with contextlib.ExitStack() as stack:
-        if state in ("up", "silent"):
-            service = Discovery() if state == "up" else Silent()
-            service.whole["hosts"] = [host(f"h{number}", 1) for number in range(200)]
-            await service.start()
-            yield service.port
-            await service.stop()
-            return
-        taken = stack.enter_context(socket.socket())
-        taken.bind((LOCAL, 0))  # nobody listens there, and nobody else is given the port
-        if state == "unreachable":
-            taken.listen(0)
-            for _ in range(3):  # its queue is full: nothing comes back
-                filler = stack.enter_context(socket.socket())
-                filler.setblocking(False)
-                filler.connect_ex(taken.getsockname())
-        yield taken.getsockname()[1]
-
-
-async def ready(port: int, since: float) -> tuple[float, Peer | None]:
-    """How long it took from then on until a client had its first answer; the client stays."""
+        listener = stack.enter_context(socket.socket())
+        listener.bind((LOCAL, 0))
+        listener.listen(0)
+        for _ in range(3):
+            filler = stack.enter_context(socket.socket())
+            filler.setblocking(False)
+            filler.connect_ex(listener.getsockname())
+        yield listener.getsockname()[1]
+
+
+@contextlib.asynccontextmanager
+async def discovery_port(state: str) -> AsyncIterator[int]:
+    """The port of a discovery in this state."""
+    async with contextlib.AsyncExitStack() as stack:
+        match state:
+            case "up":
+                yield await stack.enter_async_context(serving(Discovery()))
+            case "silent":
+                yield await stack.enter_async_context(serving(SilentDiscovery()))
+            case "refuses":
+                yield stack.enter_context(closed_port())
+            case "unreachable":
+                yield stack.enter_context(unreachable_port())
+
+
+def listed_hosts() -> list[dict[str, Any]]:
+    return [host(f"h{number}", 1) for number in range(200)]
+
+
+async def first_reply(port: int, started_at: float) -> Readiness:
+    """Wait until a client has had a reply; the client stays connected."""
     with contextlib.suppress(TimeoutError):
-        async with asyncio.timeout(GIVEN_UP_S):
+        async with asyncio.timeout(LAST_READY_TIMEOUT_S):
             while True:
                 with contextlib.suppress(ConnectionError):
                     peer = Peer(*await asyncio.open_connection(LOCAL, port))
                     peer.send(b"PING")
                     if await peer.receive() == b"PONG":
-                        return time.monotonic() - since, peer
+                        return Readiness(time.monotonic() - started_at, peer)
                 await asyncio.sleep(0.02)
-    return math.inf, None
+    return Readiness(math.inf, None)
 
 
 async def start_all(configs: dict[int, Path]) -> list[float]:
-    """Start all at once, and end them outright once all are ready: the times they took."""
+    """Start all at once and kill them once all are ready; gives the seconds that each took, in order."""
     processes: list[asyncio.subprocess.Process] = []
     try:
         waits = []
         for port, config in configs.items():
-            process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "gateway",
-                cwd=ROOT,
-                env={**os.environ, "LB_CONFIG": str(config)},
-                stderr=asyncio.subprocess.DEVNULL,
-            )
-            processes.append(process)
-            waits.append(asyncio.create_task(ready(port, time.monotonic())))
-        got = await asyncio.gather(*waits)
+            processes.append(await start_process(config, stderr=asyncio.subprocess.DEVNULL))
+            waits.append(asyncio.create_task(first_reply(port, time.monotonic())))
+        readiness = await asyncio.gather(*waits)
     finally:
         for process in processes:
-            if process.returncode is None:
-                process.kill()
-            await process.wait()
-    for _, peer in got:
+            await end_process(process)
+    for _, peer in readiness:
         if peer is not None:
             peer.close()
-    return sorted(took for took, _ in got)
+    return sorted(after_s for after_s, _ in readiness)
+
+
+def write_configs(folder: Path, discovery: int) -> dict[int, Path]:
+    """A configuration for each process, by the port that it listens on."""
+    with contextlib.ExitStack() as stack:
+        free = [stack.enter_context(socket.create_server((LOCAL, 0))) for _ in range(PROCESSES)]
+        configs = {each.getsockname()[1]: folder / f"{number}.json" for number, each in enumerate(free)}
+    cached = {"seq": 41, "whole": True, "hosts": listed_hosts()}
+    for port, path in configs.items():
+        addresses = {"listen": f"{LOCAL}:{port}", "discovery": f"{LOCAL}:{discovery}"}
+        path.write_text(json.dumps({**World().config(), **addresses, "known": cached}))
+    return configs
 
 
 @pytest.mark.timeout(150)
@@ -100,21 +141,18 @@
     """The second start comes after an outright end, with clients connected."""
 
     async def scenario() -> None:
-        world = World()
-        known = [host(f"h{number}", 1) for number in range(200)]
-        async with discovery(state) as where:
-            with contextlib.ExitStack() as stack:
-                free = [stack.enter_context(socket.create_server((LOCAL, 0))) for _ in range(PROCESSES)]
-                configs = {each.getsockname()[1]: tmp_path / f"{n}.json" for n, each in enumerate(free)}
-            for port, path in configs.items():
-                told = {"listen": f"{LOCAL}:{port}", "discovery": f"{LOCAL}:{where}"}
-                listed = {"seq": 41, "whole": True, "hosts": known}
-                path.write_text(json.dumps({**world.config(), **told, "known": listed}))
+        async with discovery_port(state) as port:
+            configs = write_configs(tmp_path, port)
             for turn in ("first start", "restart"):
-                times = await start_all(configs)
-                within = times[math.ceil(SHARE * PROCESSES) - 1]
-                line = f"discovery {state}, {turn}: nine in ten {within:.2f} s, the slowest {times[-1]:.2f} s"
+                times_s = await start_all(configs)
+
+                nine_in_ten_s = times_s[math.ceil(READY_SHARE * PROCESSES) - 1]
+                slowest_s = times_s[-1]
+                line = (
+                    f"discovery {state}, {turn}: nine in ten {nine_in_ten_s:.2f} s, slowest {slowest_s:.2f} s"
+                )
                 print(line)
-                assert within < READY_S and times[-1] < GIVEN_UP_S, line
+                assert nine_in_ten_s < READY_TIMEOUT_S, line
+                assert slowest_s < LAST_READY_TIMEOUT_S, line
 
     in_loop(scenario, 140)
--- /dev/null
+++ b/tests/network/test_timers.py
@@ -0,0 +1,70 @@
+"""The queue of timers, on a real event loop."""
+
+from __future__ import annotations
+
+import asyncio
+from functools import partial
+
+from gateway.network.timers import TimerQueue, now_ms
+from tests.support.loopback import in_loop, until
+
+
+def test_timers_never_fire_early_and_keep_their_order() -> None:
+    """The policy ignores a timer that comes early, and the request it was for would never be ended."""
+
+    async def scenario() -> None:
+        timers = TimerQueue(asyncio.get_running_loop())
+        delays_ms = [3.4, 0.6, 2.5, 0.0, 7.7, 1.49]
+        fired: list[int] = []
+        early_by_ms: list[float] = []
+
+        def fire(place: int, due_ms: float) -> None:
+            fired.append(place)
+            early_by_ms.append(due_ms - now_ms())
+
+        start_ms = now_ms()
+        for place, delay_ms in enumerate(delays_ms):
+            timers.call_at(start_ms + delay_ms, partial(fire, place, start_ms + delay_ms))
+        await until(lambda: len(fired) == len(delays_ms))
+
+        assert fired == [3, 1, 5, 2, 0, 4]
+        assert max(early_by_ms) <= 0
+
+    in_loop(scenario)
+
+
+def test_cancelled_timer_is_silent_and_wakes_nobody() -> None:
+    async def scenario() -> None:
+        timers = TimerQueue(asyncio.get_running_loop())
+        fired: list[str] = []
+        start_ms = now_ms()
+
+        timers.call_at(start_ms + 5, lambda: fired.append("cancelled")).cancel()
+        timers.call_at(start_ms + 10, lambda: fired.append("kept"))
+        await until(lambda: fired)
+
+        assert fired == ["kept"]
+        assert not timers._heap
+
+    in_loop(scenario)
+
+
+def test_timer_made_by_a_callback_waits_for_the_event_loop_s_next_turn() -> None:
+    """Else a callback that is due again at once would keep all else from running."""
+
+    async def scenario() -> None:
+        loop = asyncio.get_running_loop()
+        timers = TimerQueue(loop)
+        order: list[str] = []
+
+        def first() -> None:
+            order.append("first")
+            loop.call_soon(order.append, "event loop")
+            timers.call_at(now_ms(), lambda: order.append("second"))
+
+        timers.call_at(now_ms(), first)
+        await until(lambda: len(order) == 3)
+
+        assert order == ["first", "event loop", "second"]
+
+    in_loop(scenario)
--- /dev/null
+++ b/tests/support/gateway_process.py
@@ -0,0 +1,84 @@
+"""The gateway as a process of its own, with the servers that it talks to."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import socket
+import sys
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from pathlib import Path
+from typing import IO
+
+from tests.support.loopback import LOCAL, Peer, Server, World
+
+ROOT = Path(__file__).parents[2]
+COMMAND = (sys.executable, "-m", "gateway")
+
+
+def environment(config: Path) -> dict[str, str]:
+    """The environment of a gateway that reads `config`."""
+    return {**os.environ, "LB_CONFIG": str(config)}
+
+
+async def start_process(
+    config: Path, command: Sequence[str] = COMMAND, stderr: int | IO[bytes] = asyncio.subprocess.PIPE
+) -> asyncio.subprocess.Process:
+    return await asyncio.create_subprocess_exec(*command, cwd=ROOT, env=environment(config), stderr=stderr)
+
+
+async def end_process(process: asyncio.subprocess.Process) -> None:
+    """Kill it, if it has not ended by itself."""
+    if process.returncode is None:
+        process.kill()
+    await process.wait()
+
+
+async def connect(port: int) -> Peer:
+    """A client's connection, as soon as there is somebody to accept it."""
+    while True:
+        try:
+            return Peer(*await asyncio.open_connection(LOCAL, port))
+        except ConnectionRefusedError:
+            await asyncio.sleep(0.01)
+
+
+def free_port() -> int:
+    with socket.create_server((LOCAL, 0)) as server:
+        return int(server.getsockname()[1])
+
+
+@dataclass
+class GatewayProcess:
+    """A running gateway, the file that it is configured by and the port that it listens on."""
+
+    process: asyncio.subprocess.Process
+    config: Path
+    port: int
+
+
+@asynccontextmanager
+async def launched(
+    world: World,
+    folder: Path,
+    *other_servers: Server,
+    command: Sequence[str] = COMMAND,
+    stderr: int | IO[bytes] = asyncio.subprocess.PIPE,
+) -> AsyncIterator[GatewayProcess]:
+    """A gateway process in a world whose servers, and the others, run as long as it does."""
+    servers = [*world.backends, world.counter, world.discovery, *other_servers]
+    for server in servers:
+        await server.start()
+    port = free_port()
+    config = folder / "config.json"
+    config.write_text(json.dumps({**world.config(), "listen": f"{LOCAL}:{port}"}))
+    process = await start_process(config, command, stderr)
+    try:
+        yield GatewayProcess(process, config, port)
+    finally:
+        await end_process(process)
+        for server in servers:
+            await server.stop()
--- /dev/null
+++ b/tests/support/invalid_configurations.py
@@ -0,0 +1,17 @@
+"""Texts of configuration files that a gateway must not accept."""
+
+_ADDRESSES = '{"listen": "127.0.0.1:1", "discovery": "127.0.0.1:1", '
+
+INVALID_CONFIGURATIONS = {
+    "empty": "",
+    "a list": "[]",
+    "no keys": "{}",
+    "addresses without ports": '{"listen": "here", "discovery": "there", "settings": {}}',
+    "a gateway count beyond all numbers": _ADDRESSES + '"settings": {"groupSize": 1e999}}',
+    "infinitely many descriptors": _ADDRESSES + '"limits": {"sockets": Infinity}, "settings": {}}',
+    "an unknown effect": _ADDRESSES
+    + '"settings": {"classes": [{"name": "c", "deadline": 1, "effect": "odd"}]}}',
+    "nested too deeply": "[" * 100_000,
+    "not UTF-8": "\udcff",
+}
+"""By what is wrong with them; to be written with `errors="surrogateescape"`."""
