--- a/tests/network/test_endings.py
+++ b/tests/network/test_endings.py
@@ -61,6 +61,7 @@
     in_loop,
     request,
     running,
+    serving,
     until,
 )
 from tests.support.policy_harness import Module, settings
@@ -728,18 +729,15 @@
 
     async def scenario() -> None:
         world = World(Backend())
-        agent = world.discovery = Agent()
-        ready: asyncio.Future[int] = asyncio.get_running_loop().create_future()
-        for server in (*world.backends, world.counter, agent):
-            await server.start()
-        gateway = GatewayServer(parse_config(world.config()), shutdown_schedule=QUICK_SHUTDOWN)
-        task = asyncio.create_task(gateway.run(world.stop, ready.set_result))
-        world.port = await ready
-        assert await world.ask(await world.client()) == b"value"
-        world.stop.set()
-        await task
-        for server in (*world.backends, world.counter, agent):
-            await server.stop()
+        world.discovery = Agent()
+        async with serving(*world.servers):
+            ready: asyncio.Future[int] = asyncio.get_running_loop().create_future()
+            gateway = GatewayServer(parse_config(world.config()), shutdown_schedule=QUICK_SHUTDOWN)
+            task = asyncio.create_task(gateway.run(world.stop, ready.set_result))
+            world.port = await ready
+            assert await world.ask(await world.client()) == b"value"
+            world.stop.set()
+            await task
 
     in_loop(scenario)
 
--- a/tests/network/test_gateway_server.py
+++ b/tests/network/test_gateway_server.py
@@ -8,7 +8,7 @@
 from gateway.network.endpoint_watch import EndpointWatcher
 from gateway.network.gateway_server import GatewayServer
 from gateway.network.shutdown_schedule import ShutdownSchedule
-from tests.support.loopback import Backend, Reply, World, in_loop, request, running, until
+from tests.support.loopback import Backend, Reply, World, in_loop, request, running, serving, until
 
 
 def test_requests_open_at_the_end_of_shutdown_are_failed_rather_than_lost() -> None:
@@ -61,14 +61,10 @@
 
     async def scenario() -> None:
         world = World(Backend())
-        for server in (*world.backends, world.counter, world.discovery):
-            await server.start()
-        gateway = GatewayServer(parse_config(world.config()))
+        async with serving(*world.servers):
+            gateway = GatewayServer(parse_config(world.config()))
 
-        with pytest.raises(RuntimeError, match="a fault of the watch"):
-            await gateway.run(world.stop)
-
-        for server in (*world.backends, world.counter, world.discovery):
-            await server.stop()
+            with pytest.raises(RuntimeError, match="a fault of the watch"):
+                await gateway.run(world.stop)
 
     in_loop(scenario)
--- a/tests/support/gateway_process.py
+++ b/tests/support/gateway_process.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 from typing import IO
 
-from tests.support.loopback import LOCAL, Peer, Server, World
+from tests.support.loopback import LOCAL, Peer, Server, World, serving
 
 ROOT = Path(__file__).parents[2]
 COMMAND = (sys.executable, "-m", "gateway")
@@ -69,16 +69,12 @@
     stderr: int | IO[bytes] = asyncio.subprocess.PIPE,
 ) -> AsyncIterator[GatewayProcess]:
     """A gateway process in a world whose servers, and the others, run as long as it does."""
-    servers = [*world.backends, world.counter, world.discovery, *other_servers]
-    for server in servers:
-        await server.start()
-    port = free_port()
-    config = folder / "config.json"
-    config.write_text(json.dumps({**world.config(), "listen": f"{LOCAL}:{port}"}))
-    process = await start_process(config, command, stderr)
-    try:
-        yield GatewayProcess(process, config, port)
-    finally:
-        await end_process(process)
-        for server in servers:
-            await server.stop()
+    async with serving(*world.servers, *other_servers):
+        port = free_port()
+        config = folder / "config.json"
+        config.write_text(json.dumps({**world.config(), "listen": f"{LOCAL}:{port}"}))
+        process = await start_process(config, command, stderr)
+        try:
+            yield GatewayProcess(process, config, port)
+        finally:
+            await end_process(process)
--- a/tests/support/loopback.py
+++ b/tests/support/loopback.py
@@ -264,20 +264,30 @@
 
 
 class World:
-    """A gateway with its surroundings; `backends` are named h0, h1, ... in the list."""
+    """A gateway with its surroundings; `backends` are named h0, h1, ... in the endpoint list.
+
+    `limits` are those of the platform's configuration, by its keys.
+    """
 
     def __init__(self, *backends: Backend, counter: Counter | None = None, **limits: Any) -> None:
         self.backends = backends
-        self.counter, self.discovery = counter or Counter(), Discovery()
-        self.limits, self.settings = limits, SETTINGS
+        self.counter = counter or Counter()
+        self.discovery = Discovery()
+        self.limits = limits
+        self.settings = SETTINGS
         self.peers: list[Peer] = []
         self.port = 0
         self.stop = asyncio.Event()
 
+    @property
+    def servers(self) -> list[Server]:
+        return [*self.backends, self.counter, self.discovery]
+
     def hosts(self) -> list[dict[str, Any]]:
         return [host(f"h{number}", backend.port) for number, backend in enumerate(self.backends)]
 
     def config(self) -> dict[str, Any]:
+        """The gateway's configuration, once the servers have their ports."""
         if not self.discovery.whole["hosts"]:
             self.discovery.whole["hosts"] = self.hosts()
         return {
@@ -292,39 +302,56 @@
         }
 
     async def client(self) -> Peer:
+        """A new connection to the gateway."""
         peer = Peer(*await asyncio.open_connection(LOCAL, self.port))
         self.peers.append(peer)
         return peer
 
     async def ask(self, peer: Peer, **given: Any) -> Any:
+        """The reply to a request of this peer; `given` as for `request`."""
         peer.send(*request(**given))
         return await peer.receive()
 
 
 @asynccontextmanager
-async def running(world: World, shutdown_schedule: ShutdownSchedule = QUICK_SHUTDOWN) -> AsyncIterator[World]:
-    servers = [*world.backends, world.counter, world.discovery]
+async def serving(*servers: Server) -> AsyncIterator[None]:
+    """Servers that accept connections until the end of the block."""
     for server in servers:
         await server.start()
-    ready: asyncio.Future[int] = asyncio.get_running_loop().create_future()
-    gateway = GatewayServer(parse_config(world.config()), shutdown_schedule=shutdown_schedule)
-    task = asyncio.create_task(gateway.run(world.stop, ready.set_result))
-    await asyncio.wait({task, ready}, return_when=asyncio.FIRST_COMPLETED)
-    if task.done():
-        task.result()
-    world.port = ready.result()
     try:
-        await until(lambda: world.discovery.watches)
-        yield world
+        yield
     finally:
-        for peer in world.peers:
-            peer.close()
-        world.stop.set()
-        await task
         for server in servers:
             await server.stop()
 
 
+async def wait_until_ready(gateway: asyncio.Task[None], ready: asyncio.Future[int]) -> int:
+    """The port of a gateway that starts; raises what its start raises."""
+    waited_for: set[asyncio.Future[Any]] = {gateway, ready}
+    await asyncio.wait(waited_for, return_when=asyncio.FIRST_COMPLETED)
+    if gateway.done():
+        gateway.result()
+    return ready.result()
+
+
+@asynccontextmanager
+async def running(world: World, shutdown_schedule: ShutdownSchedule = QUICK_SHUTDOWN) -> AsyncIterator[World]:
+    """A gateway that serves, watches the endpoint list and shuts down at the end of the block."""
+    async with serving(*world.servers):
+        ready: asyncio.Future[int] = asyncio.get_running_loop().create_future()
+        gateway = GatewayServer(parse_config(world.config()), shutdown_schedule=shutdown_schedule)
+        task = asyncio.create_task(gateway.run(world.stop, ready.set_result))
+        world.port = await wait_until_ready(task, ready)
+        try:
+            await until(lambda: world.discovery.watches)
+            yield world
+        finally:
+            for peer in world.peers:
+                peer.close()
+            world.stop.set()
+            await task
+
+
 def request(
     id: bytes = b"9b1f03aa5c7e2d41",
     name: bytes = b"view",
