--- a/tests/network/test_endpoint_endings.py
+++ b/tests/network/test_endpoint_endings.py
@@ -22,6 +22,7 @@
     host,
     in_loop,
     running,
+    serving,
     until,
 )
 from tests.support.manual_server import SilentAgent
@@ -86,21 +87,16 @@
 
     async def scenario() -> None:
         world = World(Backend())
-        agent = SilentAgent()
-        world.discovery = agent
-        ready: asyncio.Future[int] = asyncio.get_running_loop().create_future()
-        for server in (*world.backends, world.counter, agent):
-            await server.start()
-
-        gateway = GatewayServer(parse_config(world.config()), shutdown_schedule=QUICK_SHUTDOWN)
-        task = asyncio.create_task(gateway.run(world.stop, ready.set_result))
-        world.port = await ready
-
-        assert await world.ask(await world.client()) == b"value"
-        world.stop.set()
-        await task
-        for server in (*world.backends, world.counter, agent):
-            await server.stop()
+        world.discovery = SilentAgent()
+        async with serving(*world.servers):
+            ready: asyncio.Future[int] = asyncio.get_running_loop().create_future()
+            gateway = GatewayServer(parse_config(world.config()), shutdown_schedule=QUICK_SHUTDOWN)
+            task = asyncio.create_task(gateway.run(world.stop, ready.set_result))
+            world.port = await ready
+
+            assert await world.ask(await world.client()) == b"value"
+            world.stop.set()
+            await task
 
     in_loop(scenario)
 
