--- a/tests/network/test_dispatcher.py
+++ b/tests/network/test_dispatcher.py
@@ -1,15 +1,17 @@
-"""The driver between a scripted module and the sockets' parts, without any socket."""
+"""The dispatcher between a scripted policy and the sockets' parts."""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
+from collections.abc import AsyncIterator
 
 import pytest
 
 from gateway.network.backend_pool import BackendPool
 from gateway.network.client_listener import ClientConnection, ClientListener, PendingReply, RequestParser
-from gateway.network.dispatcher import FAILED_REPLY, Dispatcher
+from gateway.network.dispatcher import BUSY_REPLY, FAILED_REPLY, ID_IN_USE_REPLY, Dispatcher
 from gateway.network.timers import TimerQueue
 from gateway.policy.actions import IncrementCounter, Reject, StartAttempt
 from gateway.policy.events import (
@@ -25,75 +27,98 @@
 from tests.support.loopback import LOCAL, in_loop, request, until
 from tests.support.policy_harness import BONUS, SAFE, Module, settings
 
+BACKEND = 7
+
 
 class Scene:
-    def __init__(self, max_open: int = 10) -> None:
+    """A dispatcher with one client connection, whose far end is `client`."""
+
+    def __init__(self, max_open_requests: int = 10) -> None:
         loop = asyncio.get_running_loop()
         timers = TimerQueue(loop)
         self.backends = BackendPool(loop, timers, 250, 15_000, 1_000, 10, 1_000_000)
-        terms = settings(max_attempts=2, request_classes=(SAFE,))
-        self.driver = Dispatcher(
-            terms,
+        self.dispatcher = Dispatcher(
+            settings(max_attempts=2, request_classes=(SAFE,)),
             seed=1,
             timers=timers,
             backends=self.backends,
             counter=None,
-            max_open_requests=max_open,
+            max_open_requests=max_open_requests,
         )
-        self.module = Module()
-        self.driver.policy = self.module  # type: ignore[assignment]
-        self.terms = RequestParser(self.driver.settings)
-        server = ClientListener(loop, timers, self.driver, self.terms, 10, 1_000_000)
-        self.near, self.far = socket.socketpair()
-        self.near.setblocking(False)
-        self.connection = ClientConnection(server, self.near)
+        self.policy = Module()
+        self.dispatcher.policy = self.policy  # type: ignore[assignment]
+        self.parser = RequestParser(self.dispatcher.settings)
+        listener = ClientListener(loop, timers, self.dispatcher, self.parser, 10, 1_000_000)
+        accepted, self.client = socket.socketpair()
+        accepted.setblocking(False)
+        self.connection = ClientConnection(listener, accepted)
 
     def ask(self, id: bytes = b"r1", wait: int = 3000) -> PendingReply:
-        slot = PendingReply(self.connection)
-        slot.request = id.decode()
-        self.connection.slots.append(slot)
+        pending_reply = PendingReply(self.connection)
+        pending_reply.request = id.decode()
+        self.connection.slots.append(pending_reply)
         args = list(request(id, plan=BONUS.name.encode(), wait=wait))
-        self.driver.on_request(self.terms.parse(args), slot)
-        return slot
+        self.dispatcher.on_request(self.parser.parse(args), pending_reply)
+        return pending_reply
+
+    def ended_attempts(self) -> list[AttemptEnded]:
+        return [event for event in self.policy.events if isinstance(event, AttemptEnded)]
 
 
-def test_a_fault_in_the_module_ends_its_request_with_a_failure(caplog: pytest.LogCaptureFixture) -> None:
+@contextlib.asynccontextmanager
+async def silent_backend(scene: Scene) -> AsyncIterator[list[asyncio.StreamWriter]]:
+    """A listed backend that accepts connections and says nothing; yields its ends of them."""
+    writers: list[asyncio.StreamWriter] = []
+    server = await asyncio.start_server(lambda _, writer: writers.append(writer), LOCAL, 0)
+    port = server.sockets[0].getsockname()[1]
+    scene.backends.update(BACKEND, (LOCAL, port), EndpointState.READY)
+    yield writers
+    server.close()
+
+
+def test_request_fails_if_the_policy_raises(caplog: pytest.LogCaptureFixture) -> None:
     async def scenario() -> None:
         scene = Scene()
-        scene.module.answers[RequestArrived] = ValueError("what")
+
+        scene.policy.answers[RequestArrived] = ValueError("what")
         assert scene.ask().reply == FAILED_REPLY
-        scene.module.answers[RequestArrived] = [Reject("r2", 30.5)]
+
+        scene.policy.answers[RequestArrived] = [Reject("r2", 30.5)]
         assert scene.ask(b"r2").reply == b"-BUSY 31\r\n"
 
     in_loop(scenario)
     assert "RequestArrived could not be handled" in caplog.text
 
 
-def test_a_request_that_the_module_forgets_is_failed_at_its_end() -> None:
-    """A fault at a timer or a counter's reply would leave its client without an answer."""
+def test_request_that_the_policy_forgets_fails_at_its_deadline() -> None:
+    """A fault at a timer or a counter's response would leave its client without a reply."""
 
     async def scenario() -> None:
         scene = Scene()
-        slot = scene.ask(wait=20)
-        assert slot.reply is None
-        await until(lambda: slot.answered)
-        assert slot.reply == FAILED_REPLY and not scene.driver.open_requests
-        assert scene.module.of(ClientDisconnected) == [ClientDisconnected("r1")]
+        pending_reply = scene.ask(wait=20)
+        assert pending_reply.reply is None
+
+        await until(lambda: pending_reply.answered)
+
+        assert pending_reply.reply == FAILED_REPLY
+        assert not scene.dispatcher.open_requests
+        assert scene.policy.of(ClientDisconnected) == [ClientDisconnected("r1")]
 
     in_loop(scenario)
 
 
-def test_attempts_are_limited_and_ignored_after_the_answer() -> None:
+def test_attempts_are_limited_and_ignored_after_the_reply() -> None:
     async def scenario() -> None:
         scene = Scene()
-        send = StartAttempt("r1", 7)
-        scene.module.answers[RequestArrived] = [send, send, send, Reject("r1"), send]
+        start = StartAttempt("r1", BACKEND)
+        scene.policy.answers[RequestArrived] = [start, start, start, Reject("r1"), start]
+
         scene.ask()
-        ended = scene.module.of(AttemptEnded)
-        outcomes = [
-            (e.attempt_number, e.outcome, e.request_finished) for e in ended if isinstance(e, AttemptEnded)
+
+        endings = [
+            (event.attempt_number, event.outcome, event.request_finished) for event in scene.ended_attempts()
         ]
-        assert outcomes == [
+        assert endings == [
             (0, Outcome.CONNECT_ERROR, False),  # a backend that was never listed
             (1, Outcome.CONNECT_ERROR, False),
             (2, Outcome.NOT_STARTED, False),
@@ -103,95 +128,106 @@
     in_loop(scenario)
 
 
-def test_an_attempt_not_made_for_a_client_that_has_left_is_told_by_its_own_number(
+def test_attempt_not_started_for_a_disconnected_client_ends_by_its_own_number(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    """By another one's the module would hold it to be out for ever."""
+    """By another one's the policy would hold it to be in flight for ever."""
     monkeypatch.setattr("gateway.network.client_listener.LOOK_MS", 0.0)
 
     async def scenario() -> None:
         scene = Scene()
-        scene.module.answers[RequestArrived] = [StartAttempt("r1", 7)]
+        scene.policy.answers[RequestArrived] = [StartAttempt("r1", BACKEND)]
         scene.ask()
-        scene.module.answers[RequestArrived] = []
+        scene.policy.answers[RequestArrived] = []
         scene.ask(b"r2")
-        scene.module.answers[TimerFired] = [StartAttempt("r2", 7), StartAttempt("r1", 7)]
-        scene.far.close()
-        scene.driver.deliver(TimerFired(TimerToken(TimerKind.REQUEST, "t")))
-        ended = scene.module.of(AttemptEnded)
-        assert [
-            (e.request_id, e.attempt_number, e.request_finished) for e in ended if isinstance(e, AttemptEnded)
-        ] == [
-            ("r1", 0, False),
-            ("r2", 0, True),
-            ("r1", 1, True),
+        scene.policy.answers[TimerFired] = [StartAttempt("r2", BACKEND), StartAttempt("r1", BACKEND)]
+
+        scene.client.close()
+        scene.dispatcher.deliver(TimerFired(TimerToken(TimerKind.REQUEST, "t")))
+
+        endings = [
+            (event.request_id, event.attempt_number, event.request_finished)
+            for event in scene.ended_attempts()
         ]
-        assert len(scene.module.of(ClientDisconnected)) == 2
-        assert not scene.driver.open_requests and not scene.driver.disconnected_requests
+        assert endings == [("r1", 0, False), ("r2", 0, True), ("r1", 1, True)]
+        assert len(scene.policy.of(ClientDisconnected)) == 2
+        assert not scene.dispatcher.open_requests
+        assert not scene.dispatcher.disconnected_requests
 
     in_loop(scenario)
 
 
-def test_an_attempt_s_own_time_out_leaves_the_request_open() -> None:
+def test_attempt_timeout_leaves_the_request_open() -> None:
     async def scenario() -> None:
         scene = Scene()
-        server = await asyncio.start_server(lambda *_: None, LOCAL, 0)
-        port = server.sockets[0].getsockname()[1]
-        scene.backends.update(7, (LOCAL, port), EndpointState.READY)
-        scene.module.answers[RequestArrived] = [StartAttempt("r1", 7, timeout_ms=20.0)]
-        scene.module.answers[AttemptEnded] = [Reject("r1")]
-        slot = scene.ask()
-        await until(lambda: slot.answered)
-        (ended,) = scene.module.of(AttemptEnded)
-        assert isinstance(ended, AttemptEnded)
-        assert (ended.outcome, ended.request_finished) == (
-            Outcome.TIMED_OUT,
-            False,
-        ) and ended.latency_ms >= 20
-        assert slot.reply == b"-BUSY\r\n"
-        server.close()
+        async with silent_backend(scene):
+            scene.policy.answers[RequestArrived] = [StartAttempt("r1", BACKEND, timeout_ms=20.0)]
+            scene.policy.answers[AttemptEnded] = [Reject("r1")]
+
+            pending_reply = scene.ask()
+            await until(lambda: pending_reply.answered)
+
+            (ended,) = scene.ended_attempts()
+            assert ended.outcome is Outcome.TIMED_OUT
+            assert not ended.request_finished
+            assert ended.latency_ms >= 20
+            assert pending_reply.reply == BUSY_REPLY
 
     in_loop(scenario)
 
 
-def test_an_id_is_in_use_as_long_as_an_attempt_of_it_is_out() -> None:
-    """The module need not call an attempt off when its request has ended; both are known by the id."""
+def test_id_is_in_use_while_an_attempt_of_it_is_in_flight() -> None:
+    """The policy need not cancel an attempt when its request has ended; both are known by the id."""
 
     async def scenario() -> None:
         scene = Scene()
-        talks: list[asyncio.StreamWriter] = []
-        server = await asyncio.start_server(lambda _, writer: talks.append(writer), LOCAL, 0)
-        port = server.sockets[0].getsockname()[1]
-        scene.backends.update(7, (LOCAL, port), EndpointState.READY)
-        scene.module.answers[RequestArrived] = [StartAttempt("r1", 7), Reject("r1")]
-        assert scene.ask().reply == b"-BUSY\r\n"
-        await until(lambda: talks)
-        assert scene.ask().reply == b"-ERR id in use\r\n"
-        talks[0].close()
-        await until(lambda: scene.module.of(AttemptEnded))
-        assert not scene.driver.attempts
-        assert scene.ask().reply == b"-BUSY\r\n"
-        assert len(scene.module.of(RequestArrived)) == 2
-        server.close()
+        async with silent_backend(scene) as writers:
+            scene.policy.answers[RequestArrived] = [StartAttempt("r1", BACKEND), Reject("r1")]
+            assert scene.ask().reply == BUSY_REPLY
+            await until(lambda: writers)
+            assert scene.ask().reply == ID_IN_USE_REPLY
+
+            writers[0].close()
+            await until(lambda: scene.policy.of(AttemptEnded))
+
+            assert not scene.dispatcher.attempts
+            assert scene.ask().reply == BUSY_REPLY
+            assert len(scene.policy.of(RequestArrived)) == 2
 
     in_loop(scenario)
 
 
-def test_more_open_requests_than_allowed_are_turned_away() -> None:
+def test_request_beyond_the_limit_of_open_requests_is_rejected() -> None:
     async def scenario() -> None:
-        scene = Scene(max_open=1)
+        scene = Scene(max_open_requests=1)
+
         assert scene.ask().reply is None
-        assert scene.ask(b"r2").reply == b"-BUSY\r\n"
-        assert len(scene.module.events) == 1
+        assert scene.ask(b"r2").reply == BUSY_REPLY
+
+        assert len(scene.policy.events) == 1
 
     in_loop(scenario)
 
 
-def test_without_a_counter_calls_end_as_never_made() -> None:
+@pytest.mark.parametrize(
+    ("reply", "on_the_wire"),
+    [
+        (FAILED_REPLY, b"-ERR failed\r\n"),
+        (BUSY_REPLY, b"-BUSY\r\n"),
+        (ID_IN_USE_REPLY, b"-ERR id in use\r\n"),
+    ],
+)
+def test_replies_stay_as_the_protocol_words_them(reply: bytes, on_the_wire: bytes) -> None:
+    assert reply == on_the_wire
+
+
+def test_counter_calls_fail_as_never_made_without_a_counter() -> None:
     async def scenario() -> None:
         scene = Scene()
-        scene.module.answers[RequestArrived] = [IncrementCounter("n", 1.0, 100.0)]
+        scene.policy.answers[RequestArrived] = [IncrementCounter("n", 1.0, 100.0)]
+
         scene.ask()
-        assert scene.module.of(CounterResponse) == [CounterResponse("n", Outcome.CONNECT_ERROR, 0.0)]
+
+        assert scene.policy.of(CounterResponse) == [CounterResponse("n", Outcome.CONNECT_ERROR, 0.0)]
 
     in_loop(scenario)
