Split the backend pool into attempt, idle-loss estimate, connection, pool and parser

Cause: one module of 413 lines held five classes that referred to each other, with private words for their parts, and the parser of backends' replies stood among that of commands.

Change: `attempt`, `idle_loss`, `backend_connection`, `backend_pool` and `resp_replies` each do one thing. Connections share `ConnectionResources` (loop, receive buffer, byte bound, estimator) and belong to a `PooledEndpoint`, so that nothing imports in a circle. `BackendAttempt` and the settings of `BackendPool` are keyword-only. The tests' pool and attempts moved to `tests/support/backend_harness.py`.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -365,7 +365,15 @@
 async def pooled(listed: tuple[Endpoint, ...]) -> tuple[int, float]:
     """Bytes that the pool keeps of the hosts, and the microseconds of its sweep of each second."""
     loop = asyncio.get_running_loop()
-    pool = BackendPool(loop, TimerQueue(loop), 250.0, 15_000.0, 500.0, 256, 1 << 20)
+    pool = BackendPool(
+        loop,
+        TimerQueue(loop),
+        connect_timeout_ms=250.0,
+        keepalive_ms=15_000.0,
+        drain_grace_ms=500.0,
+        max_connections=256,
+        max_buffered_bytes=1 << 20,
+    )
     update, up = pool.update, EndpointState.READY
     size = held(
         lambda: [update(e.backend_id, (f"10.0.{i >> 8}.{i & 255}", i), up) for i, e in enumerate(listed)]
--- a/gateway/__main__.py
+++ b/gateway/__main__.py
@@ -117,11 +117,11 @@
     backends = BackendPool(
         loop,
         timers,
-        config.connect_timeout_ms,
-        config.keepalive_ms,
-        config.settings.safety_rules.drain_grace_ms,
-        for_backends,
-        memory,
+        connect_timeout_ms=config.connect_timeout_ms,
+        keepalive_ms=config.keepalive_ms,
+        drain_grace_ms=config.settings.safety_rules.drain_grace_ms,
+        max_connections=for_backends,
+        max_buffered_bytes=memory,
     )
     counter = (
         CounterClient(loop, timers, config.counter, config.settings.counter_timeout_ms)
--- a/gateway/network/dispatcher.py
+++ b/gateway/network/dispatcher.py
@@ -30,7 +30,8 @@
     UpdateKind,
 )
 from ..policy.settings import Settings
-from .backend_pool import Attempt, BackendPool
+from .attempt import BackendAttempt
+from .backend_pool import BackendPool
 from .client_listener import ClientRequest, PendingReply
 from .counter_client import CounterClient
 from .endpoint_watch import ListedEndpoint
@@ -50,7 +51,7 @@
     def __init__(self, command: ClientRequest, slot: PendingReply, deadline: float) -> None:
         self.command, self.slot, self.deadline = command, slot, deadline
         self.made = 0  # attempts so far
-        self.live: dict[int, Attempt] = {}  # attempts out, by number
+        self.live: dict[int, BackendAttempt] = {}  # attempts out, by number
         self.timer: Timer | None = None  # of its end
 
 
@@ -73,7 +74,9 @@
         self.policy, self.settings = GatewayPolicy(settings, seed), settings
         self.timers, self.backends, self.counter, self.max_open = timers, backends, counter, max_open
         self.requests: dict[str, Request] = {}
-        self.attempts: dict[tuple[str, int], Attempt] = {}  # out, also those of requests that have ended
+        self.attempts: dict[
+            tuple[str, int], BackendAttempt
+        ] = {}  # out, also those of requests that have ended
         self.listed: dict[int, str] = {}  # addresses, of what has come of a whole list
         self.events: deque[Event] = deque()
         self.left: dict[str, Request] = {}  # their clients have left, which the module has not heard yet
@@ -171,7 +174,7 @@
         owner: Request,
         number: int,
         sent_at: float,
-        attempt: Attempt,
+        attempt: BackendAttempt,
         outcome: Outcome,
         value: bytes,
     ) -> None:
@@ -183,7 +186,7 @@
         if finished:
             self.settle(owner)
         lag = now_ms() - sent_at
-        self.deliver(AttemptEnded(request, number, attempt.backend, outcome, lag, finished))
+        self.deliver(AttemptEnded(request, number, attempt.backend_id, outcome, lag, finished))
 
     def on_counted(self, name: str, outcome: Outcome, reading: float) -> None:
         self.deliver(CounterResponse(name, outcome, reading))
@@ -226,13 +229,18 @@
             return
         number, owner.made = owner.made, owner.made + 1
         ended = partial(self.on_ended, owner, number, now)
-        attempt = Attempt(
-            backend, owner.command.encode, owner.deadline, ended, latest, owner.slot.detect_disconnect
+        attempt = BackendAttempt(
+            backend_id=backend,
+            encode=owner.command.encode,
+            deadline=owner.deadline,
+            on_end=ended,
+            start_before=latest,
+            detect_disconnect=owner.slot.detect_disconnect,
         )
         self.attempts[request, number] = owner.live[number] = attempt
         if 0 < timeout < owner.deadline - now:
             give_up = partial(self.backends.abandon, attempt, Outcome.TIMED_OUT)
-            attempt.timer = self.timers.call_at(now + timeout, give_up)
+            attempt.timeout_timer = self.timers.call_at(now + timeout, give_up)
         self.backends.start(attempt)
 
     def abandon(self, owner: Request, outcome: Outcome) -> None:
--- a/scale/hollow.py
+++ b/scale/hollow.py
@@ -19,7 +19,8 @@
 
 import psutil
 
-from gateway.network.backend_pool import Attempt, BackendPool
+from gateway.network.attempt import BackendAttempt
+from gateway.network.backend_pool import BackendPool
 from gateway.network.backoff import Backoff
 from gateway.network.client_listener import ClientConnection, PendingReply, RequestParser
 from gateway.network.configuration import parse_config
@@ -41,7 +42,7 @@
 class Nowhere(BackendPool):
     """Pools that hold the list as ever, and end each attempt at once as served."""
 
-    def start(self, attempt: Attempt) -> None:
+    def start(self, attempt: BackendAttempt) -> None:
         attempt.end(Outcome.OK)
 
 
@@ -75,11 +76,11 @@
         self.backends = Nowhere(
             loop,
             timers,
-            config.connect_timeout_ms,
-            config.keepalive_ms,
-            settings.safety_rules.drain_grace_ms,
-            int(config.max_descriptors * BACKEND_SHARE),
-            int(config.memory_mb * MEMORY_SHARE * 2**20),
+            connect_timeout_ms=config.connect_timeout_ms,
+            keepalive_ms=config.keepalive_ms,
+            drain_grace_ms=settings.safety_rules.drain_grace_ms,
+            max_connections=int(config.max_descriptors * BACKEND_SHARE),
+            max_buffered_bytes=int(config.memory_mb * MEMORY_SHARE * 2**20),
         )
         self.counter = (
             CounterClient(loop, timers, config.counter, settings.counter_timeout_ms)
--- a/tests/network/test_dispatcher.py
+++ b/tests/network/test_dispatcher.py
@@ -30,7 +30,15 @@
     def __init__(self, max_open: int = 10) -> None:
         loop = asyncio.get_running_loop()
         timers = TimerQueue(loop)
-        self.backends = BackendPool(loop, timers, 250, 15_000, 1_000, 10, 1_000_000)
+        self.backends = BackendPool(
+            loop,
+            timers,
+            connect_timeout_ms=250,
+            keepalive_ms=15_000,
+            drain_grace_ms=1_000,
+            max_connections=10,
+            max_buffered_bytes=1_000_000,
+        )
         terms = settings(max_attempts=2, request_classes=(SAFE,))
         self.driver = Dispatcher(terms, 1, timers, self.backends, None, max_open)
         self.module = Module()
--- a/tests/network/test_endings.py
+++ b/tests/network/test_endings.py
@@ -43,7 +43,7 @@
 )
 from gateway.policy.settings import Idempotency, Plan, RequestClass
 from gateway.policy.timers import TimerKind, TimerToken
-from tests.network.test_backend_pool import Try, pool, rested
+from tests.support.backend_harness import RecordedAttempt, open_pool, wait_for_reuse_delay
 from tests.support.loopback import (
     LOCAL,
     SETTINGS,
@@ -104,7 +104,15 @@
     """The sockets of clients and backends, joined to a scripted module."""
     loop, module = asyncio.get_running_loop(), module or Module()
     timers = TimerQueue(loop)
-    backends = BackendPool(loop, timers, 60_000, 15_000, 1_000, most, 1_000_000)
+    backends = BackendPool(
+        loop,
+        timers,
+        connect_timeout_ms=60_000,
+        keepalive_ms=15_000,
+        drain_grace_ms=1_000,
+        max_connections=most,
+        max_buffered_bytes=1_000_000,
+    )
     driver = Dispatcher(
         settings(gateway_count=1, request_classes=(VIEW,)), 1, timers, backends, counter, most
     )
@@ -443,7 +451,7 @@
             other = await connect(port)
             other.send(*request(b"before"))  # leaves a connection on which an attempt is written at once
             assert await other.receive() == b"value"
-            await rested(driver.backends)
+            await wait_for_reuse_delay(driver.backends)
             leavers: list[socket.socket] = []
             near: list[socket.socket] = []
             ids = [b"%d" % number for number in range(count)]
@@ -509,7 +517,7 @@
                 leaver = knock(port, encode(*request(b"waits")))
                 await until(lambda: driver.attempts)
                 (connection,) = driver.backends.connections
-                assert not connection.up
+                assert not connection.is_connected
                 for filler in fillers:
                     filler.close()
                 busy.settimeout(10.0)
@@ -845,16 +853,16 @@
 def test_a_reset_in_the_middle_of_an_answer_may_have_run(said: bytes) -> None:
     async def scenario() -> None:
         raw = Raw()
-        async with pool() as made:
+        async with open_pool() as made:
             made.update(0, raw.address, EndpointState.READY)
-            tried = Try(made)
+            tried = RecordedAttempt(made)
             near = await raw.taken(1)
             near.sendall(said)
-            await until(lambda: made.held == len(said))
+            await until(lambda: made.resources.buffered_bytes == len(said))
             near.shutdown(socket.SHUT_RDWR)
             raw.reset(near)
             assert await tried.result() == (Outcome.CONNECTION_RESET, b"")
-            assert not made.connections and made.held == 0
+            assert not made.connections and made.resources.buffered_bytes == 0
         raw.listener.close()
 
     in_loop(scenario)
@@ -862,19 +870,21 @@
 
 def test_a_close_that_crosses_a_send_may_have_run(monkeypatch: pytest.MonkeyPatch) -> None:
     """The backend's close is on its way as the request is written: nobody here can know yet."""
-    monkeypatch.setattr("gateway.network.backend_pool.BackendConnection.alive", lambda connection: True)
+    monkeypatch.setattr(
+        "gateway.network.backend_connection.BackendConnection.is_alive", lambda connection: True
+    )
 
     async def scenario() -> None:
         raw = Raw()
-        async with pool() as made:
+        async with open_pool() as made:
             made.update(0, raw.address, EndpointState.READY)
-            first = Try(made)
+            first = RecordedAttempt(made)
             near = await raw.taken(1)
             near.sendall(ANSWER)
             assert (await first.result())[0] is Outcome.OK
-            await rested(made)
+            await wait_for_reuse_delay(made)
             near.shutdown(socket.SHUT_RDWR)
-            second = Try(made)  # in the same turn of the loop
+            second = RecordedAttempt(made)  # in the same turn of the loop
             assert (await second.result())[0] is Outcome.CONNECTION_RESET
             assert not made.connections
         raw.listener.close()
@@ -887,15 +897,15 @@
 
     async def scenario() -> None:
         raw = Raw()
-        async with pool() as made:
+        async with open_pool() as made:
             made.update(0, raw.address, EndpointState.READY)
-            tried = Try(made)
+            tried = RecordedAttempt(made)
             near = await raw.taken(1)
             near.sendall(ANSWER)
             made.abandon(tried.attempt, Outcome.TIMED_OUT)
             made.abandon(tried.attempt, Outcome.CANCELLED)
             assert tried.endings == [(Outcome.TIMED_OUT, b"")] and not made.connections
-            again = Try(made)  # on a connection of its own: the old answer is not its
+            again = RecordedAttempt(made)  # on a connection of its own: the old answer is not its
             near = await raw.taken(1)
             near.sendall(ANSWER.replace(b"value", b"other"))
             assert await again.result() == (Outcome.OK, b"other")
@@ -910,13 +920,13 @@
 
     async def scenario() -> None:
         backend, loop = Backend(), asyncio.get_running_loop()
-        async with pool(backend, connect_timeout=1) as made:
-            tries: list[Try] = []
+        async with open_pool(backend, connect_timeout_ms=1) as made:
+            tries: list[RecordedAttempt] = []
             near, far = socket.socketpair()
 
             def held_up() -> None:
                 loop.remove_reader(near)
-                tries.append(Try(made))
+                tries.append(RecordedAttempt(made))
                 time.sleep(0.02)  # the kernel connects meanwhile
 
             loop.add_reader(near, held_up)
