Name the backend pool's tests by behaviour and split them by module

Cause: the tests of pool, replies and idle losses shared one file, and several of them checked more than one behaviour under names in private words.

One test more holds the log line of malformed replies.

--- /dev/null
+++ b/tests/network/test_backend_replies.py
@@ -0,0 +1,178 @@
+"""Replies of backends, well formed and otherwise, and what becomes of attempt and connection."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from gateway.network.timers import now_ms
+from gateway.policy.events import Outcome
+from tests.support.backend_harness import (
+    VALUE_REPLY,
+    RecordedAttempt,
+    open_pool,
+    runs_in_loop,
+    scripted,
+    wait_for_reuse_delay,
+)
+from tests.support.loopback import Backend, Reply, until
+
+VALUE_WITHOUT_METADATA = b"*3\r\n$5\r\nvalue\r\n"
+MALFORMED_REPLIES = [
+    b"?\r\n",
+    b"+OK\r\n",
+    b":1\r\n",
+    b"HTTP/1.1 200 OK\r\n",
+    b"*3\r\n$-1\r\n$-1\r\n$-1\r\n",
+    b"*2\r\n$5\r\nvalue\r\n$-1\r\n",
+    b"*3\r\n+value\r\n$-1\r\n$-1\r\n",
+    b"*3\r\n$4\r\nvalue\r\n$-1\r\n$-1\r\n",
+    b"*3\r\n$7\r\nvalue\r\n$-1\r\n$-1\r\n",
+    b"*3\r\n$3000000000\r\n",  # and it would keep coming
+    b"*3\r\n$1048577\r\n",
+    b"*3\r\n$-5\r\n",
+    b"*4294967295\r\n",
+    b"*1\r\n" * 50,
+    b"%1\r\n*1\r\n:1\r\n:2\r\n",
+    b"x" * 2000,
+    b"-" + b"x" * 2000,
+]
+MALFORMED_METADATA = [
+    b":what\r\n$-1\r\n",
+    b"$-1\r\n$-7\r\n",
+    b"$-1\r\n?\r\n",
+    b"$2\r\nlong\r\n$-1\r\n",
+    b"$-1\r\n$99999\r\n",
+]
+VALUES_WITH_MALFORMED_METADATA = [VALUE_WITHOUT_METADATA + metadata for metadata in MALFORMED_METADATA]
+
+
+@pytest.mark.parametrize(
+    ("reply", "outcome"),
+    [
+        (VALUE_REPLY, Outcome.OK),
+        (b"-BUSY\r\n", Outcome.QUEUE_FULL),
+        (b"-BUSY queue\r\n", Outcome.QUEUE_FULL),
+        (b"-ERR failed\r\n", Outcome.FAILED),
+        (b"-ERR failed inflight=7\r\n", Outcome.FAILED),
+        (b"-OTHER\r\n", Outcome.FAILED),
+        (b"", Outcome.CONNECTION_RESET),
+        *((reply, Outcome.CONNECTION_RESET) for reply in MALFORMED_REPLIES),
+        *((reply, Outcome.OK) for reply in VALUES_WITH_MALFORMED_METADATA),
+    ],
+)
+@runs_in_loop
+async def test_reply_determines_the_outcome(reply: bytes, outcome: Outcome) -> None:
+    async with open_pool(scripted(reply)) as pool:
+        attempt = RecordedAttempt(pool)
+
+        assert await attempt.outcome() is outcome
+
+
+@pytest.mark.parametrize("reply", [*MALFORMED_REPLIES, b"-OTHER\r\n", *VALUES_WITH_MALFORMED_METADATA])
+@runs_in_loop
+async def test_connection_with_a_malformed_or_unknown_reply_is_not_reused(reply: bytes) -> None:
+    """The rest of it would be taken for the reply to the next request, or keep that one waiting."""
+    backend = scripted(reply)
+    async with open_pool(backend) as pool:
+        await RecordedAttempt(pool).result()
+
+        assert not pool.connections
+        assert not pool.endpoints[0].idle_connections
+
+        backend.script = backend.serve
+        assert await RecordedAttempt(pool).result() == (Outcome.OK, b"value")
+
+
+@pytest.mark.parametrize("reply", [VALUE_REPLY, b"-BUSY\r\n", b"-ERR failed\r\n"])
+@runs_in_loop
+async def test_reply_in_pieces_leaves_its_connection_usable(reply: bytes) -> None:
+    async def script(_command: list[bytes]) -> Reply:
+        (writer,) = backend.open
+        for byte in reply:
+            writer.write(bytes([byte]))
+            await writer.drain()
+            await asyncio.sleep(0)
+        return None
+
+    backend = Backend(script)
+    async with open_pool(backend) as pool:
+        for _ in range(2):
+            await RecordedAttempt(pool).result()
+            await wait_for_reuse_delay(pool)
+
+        assert backend.accepted == 1
+
+
+@runs_in_loop
+async def test_bytes_after_a_reply_are_not_taken_for_the_next_reply() -> None:
+    """A second reply or noise may come after the read that brought the first one."""
+    backend = Backend()
+    async with open_pool(backend) as pool:
+        assert await RecordedAttempt(pool).outcome() is Outcome.OK
+        (connection,) = pool.endpoints[0].idle_connections
+        (writer,) = backend.open
+        pool.resources.loop.remove_reader(connection.fd)  # as if the event loop had not yet come to it
+        writer.write(VALUE_REPLY.replace(b"value", b"other"))
+        await until(lambda: not connection.is_alive())
+        await wait_for_reuse_delay(pool)
+
+        assert await RecordedAttempt(pool).result() == (Outcome.OK, b"value")
+        assert backend.accepted == 2
+
+
+@runs_in_loop
+async def test_connection_is_not_reused_before_it_has_rested() -> None:
+    """Otherwise a second reply that is still on its way would be taken for the next one."""
+    backend = Backend()
+    async with open_pool(backend) as pool:
+        assert await RecordedAttempt(pool).outcome() is Outcome.OK
+        pool.endpoints[0].idle_connections[-1].idle_since = now_ms() + 60_000
+
+        assert await RecordedAttempt(pool).result() == (Outcome.OK, b"value")
+        assert backend.accepted == 2
+
+
+@runs_in_loop
+async def test_large_values_pass_within_the_memory_of_all_incomplete_replies() -> None:
+    """Values of several hundred kilobytes do come; many halves of them at once must not fill the memory."""
+    value = b"x" * 400_000
+    may_finish = asyncio.Event()
+    seen: set[asyncio.StreamWriter] = set()
+
+    async def script(_command: list[bytes]) -> Reply:
+        (writer,) = backend.open - seen
+        seen.add(writer)
+        writer.write(b"*3\r\n$400000\r\n" + value[1:])
+        await may_finish.wait()
+        return b"x\r\n$-1\r\n$-1\r\n"
+
+    backend = Backend(script)
+    async with open_pool(backend, max_buffered_bytes=700_000) as pool:
+        first = RecordedAttempt(pool)
+        await until(lambda: pool.resources.buffered_bytes > 390_000)
+        second = RecordedAttempt(pool)
+
+        assert await second.outcome() is Outcome.CONNECTION_RESET
+        may_finish.set()
+        assert await first.result() == (Outcome.OK, value)
+        assert pool.resources.buffered_bytes == 0
+
+
+@runs_in_loop
+async def test_malformed_replies_of_a_sweep_interval_are_logged_in_one_line(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    backend = scripted(b"+OK\r\n")
+    async with open_pool(backend) as pool:
+        for _ in range(3):
+            await RecordedAttempt(pool).result()
+        pool.sweep()
+        pool.sweep()
+
+    (line,) = caplog.messages
+    assert line == (
+        "reading replies of backends failed 3 times, the connections were closed: "
+        f"127.0.0.1:{backend.port} not a reply (3)"
+    )
--- /dev/null
+++ b/tests/network/test_idle_loss.py
@@ -0,0 +1,49 @@
+"""How long idle connections are used, as learned from requests that were lost on them."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+
+from gateway.network.idle_loss import IdleLossEstimator
+from gateway.policy.events import Outcome
+from tests.support.backend_harness import VALUE_REPLY, RecordedAttempt, open_pool, runs_in_loop
+from tests.support.loopback import Backend, Reply
+
+
+@runs_in_loop
+async def test_connections_are_reused_no_longer_than_they_turn_out_to_hold() -> None:
+    """Backends may drop idle connections unannounced long before the time in the settings."""
+    seen: set[asyncio.StreamWriter] = set()
+
+    async def reply_once_per_connection(_command: list[bytes]) -> Reply:
+        used = backend.open & seen
+        seen.update(backend.open)
+        return b"" if used else VALUE_REPLY
+
+    backend = Backend(reply_once_per_connection)
+    async with open_pool(backend) as pool:
+        outcomes = []
+        for _ in range(12):
+            for endpoint in pool.endpoints.values():
+                for connection in endpoint.idle_connections:
+                    connection.idle_since -= 300
+            outcomes.append(await RecordedAttempt(pool).outcome())
+
+        assert outcomes.count(Outcome.CONNECTION_RESET) <= 3
+        assert outcomes[-5:] == [Outcome.OK] * 5
+        assert pool.resources.idle_loss.limit_ms == 200
+
+        for _ in range(60):
+            pool.resources.idle_loss.decay()
+        assert pool.resources.idle_loss.limit_ms == math.inf  # it may hold longer by now
+
+
+def test_losses_that_new_connections_share_do_not_limit_the_idle_time() -> None:
+    estimator = IdleLossEstimator()
+
+    for turn in range(100):
+        for idle_ms in (None, 50.0, 300.0):
+            estimator.record(idle_ms, is_lost=turn % 5 == 0)
+
+    assert estimator.limit_ms == math.inf
--- a/tests/support/backend_harness.py
+++ b/tests/support/backend_harness.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
+import functools
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from typing import Any
 
@@ -11,7 +12,9 @@
 from gateway.network.backend_pool import REUSE_DELAY_MS, BackendPool
 from gateway.network.timers import TimerQueue, now_ms
 from gateway.policy.events import EndpointState, Outcome
-from tests.support.loopback import LOCAL, Server, encode, request, until
+from tests.support.loopback import LOCAL, Backend, Reply, Server, encode, in_loop, request, until
+
+VALUE_REPLY = b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n"
 
 POOL_SETTINGS: dict[str, Any] = {
     "connect_timeout_ms": 250,
@@ -78,3 +81,22 @@
         """Wait for the end and return its outcome."""
         outcome, _ = await self.result()
         return outcome
+
+
+def runs_in_loop(test: Callable[..., Awaitable[None]]) -> Callable[..., None]:
+    """Run an asynchronous test in an event loop of its own, within a time limit."""
+
+    @functools.wraps(test)
+    def run(*args: Any, **kwargs: Any) -> None:
+        in_loop(lambda: test(*args, **kwargs))
+
+    return run
+
+
+def scripted(reply: Reply) -> Backend:
+    """Return a backend that gives each request this reply: None stays silent, b"" hangs up."""
+
+    async def script(_command: list[bytes]) -> Reply:
+        return reply
+
+    return Backend(script)
--- a/tests/support/loopback.py
+++ b/tests/support/loopback.py
@@ -133,18 +133,22 @@
 
 
 Reply = bytes | None
+"""What a scripted server sends: None stays silent, b"" hangs up."""
 
 
 class Backend(Server):
-    """Answers each command as `script` says; None stays silent, b"" hangs up."""
+    """A fake backend: replies to each command as `script` says, by default with a value."""
 
     def __init__(self, script: Callable[[list[bytes]], Awaitable[Reply]] | None = None) -> None:
         super().__init__()
         self.script = script or self.serve
         self.got: list[list[bytes]] = []
-        self.ended = 0  # connections that the gateway closed
+        """The commands received, in order."""
+        self.ended = 0
+        """How many connections the gateway closed."""
 
-    async def serve(self, command: list[bytes]) -> Reply:
+    async def serve(self, _command: list[bytes]) -> Reply:
+        """Reply with a value, without usage figures and load report."""
         return b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n"
 
     async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
