--- a/gateway/network/dispatcher.py
+++ b/gateway/network/dispatcher.py
@@ -35,7 +35,8 @@
     UpdateKind,
 )
 from ..policy.settings import Settings
-from .backend_pool import Attempt, BackendPool
+from .attempt import BackendAttempt
+from .backend_pool import BackendPool
 from .counter_client import CounterClient
 from .endpoint_list import ListedEndpoint
 from .pending_reply import PendingReply
@@ -75,7 +76,7 @@
         self.deadline = deadline
         self.deadline_timer: Timer | None = None
         self.attempts_started = 0
-        self.attempts_in_flight: dict[int, Attempt] = {}
+        self.attempts_in_flight: dict[int, BackendAttempt] = {}
         """By attempt number."""
 
 
@@ -104,7 +105,7 @@
         self.counter = counter
         self.max_open_requests = max_open_requests
         self.open_requests: dict[str, OpenRequest] = {}
-        self.attempts: dict[tuple[str, int], Attempt] = {}
+        self.attempts: dict[tuple[str, int], BackendAttempt] = {}
         """Attempts in flight by request id and number, also those of requests that have their reply."""
         self.disconnected_requests: dict[str, OpenRequest] = {}
         """Requests whose clients have disconnected, which the policy has not been told yet."""
@@ -228,7 +229,7 @@
         request: OpenRequest,
         number: int,
         started_at: float,
-        attempt: Attempt,
+        attempt: BackendAttempt,
         outcome: Outcome,
         value: bytes,
     ) -> None:
@@ -241,7 +242,7 @@
         if is_finished:
             self._cancel_deadline_timer(request)
         latency_ms = now_ms() - started_at
-        self.deliver(AttemptEnded(request_id, number, attempt.backend, outcome, latency_ms, is_finished))
+        self.deliver(AttemptEnded(request_id, number, attempt.backend_id, outcome, latency_ms, is_finished))
 
     def _on_counter_response(self, name: str, outcome: Outcome, total: float) -> None:
         self.deliver(CounterResponse(name, outcome, total))
@@ -277,19 +278,19 @@
             return
         number = request.attempts_started
         request.attempts_started += 1
-        attempt = Attempt(
-            action.backend_id,
-            request.client_request.encode,
-            request.deadline,
-            partial(self._on_attempt_ended, request, number, now),
-            action.start_before,
-            request.pending_reply.detect_disconnect,
+        attempt = BackendAttempt(
+            backend_id=action.backend_id,
+            encode=request.client_request.encode,
+            deadline=request.deadline,
+            on_end=partial(self._on_attempt_ended, request, number, now),
+            start_before=action.start_before,
+            detect_disconnect=request.pending_reply.detect_disconnect,
         )
         self.attempts[request_id, number] = attempt
         request.attempts_in_flight[number] = attempt
         if 0 < action.timeout_ms < request.deadline - now:
             on_timeout = partial(self.backends.abandon, attempt, Outcome.TIMED_OUT)
-            attempt.timer = self.timers.call_at(now + action.timeout_ms, on_timeout)
+            attempt.timeout_timer = self.timers.call_at(now + action.timeout_ms, on_timeout)
         self.backends.start(attempt)
 
     def _report_not_started(self, action: StartAttempt, open_request: OpenRequest | None) -> None:
--- a/gateway/network/gateway_server.py
+++ b/gateway/network/gateway_server.py
@@ -192,11 +192,11 @@
         return BackendPool(
             self._loop,
             self._timers,
-            self._config.connect_timeout_ms,
-            self._config.keepalive_ms,
-            self._config.settings.safety_rules.drain_grace_ms,
-            self._budget.backend_connections,
-            self._buffer_bytes,
+            connect_timeout_ms=self._config.connect_timeout_ms,
+            keepalive_ms=self._config.keepalive_ms,
+            drain_grace_ms=self._config.settings.safety_rules.drain_grace_ms,
+            max_connections=self._budget.backend_connections,
+            max_buffered_bytes=self._buffer_bytes,
         )
 
     def _create_counter_client(self) -> CounterClient | None:
--- a/tests/network/test_backend_endings.py
+++ b/tests/network/test_backend_endings.py
@@ -9,7 +9,7 @@
 import pytest
 
 from gateway.policy.events import EndpointState, Outcome
-from tests.network.test_backend_pool import Try, pool, rested
+from tests.support.backend_harness import RecordedAttempt, open_pool, wait_for_reuse_delay
 from tests.support.loopback import Backend, in_loop, until
 from tests.support.manual_server import ManualServer, reset
 
@@ -20,19 +20,19 @@
 def test_reset_amid_a_reply_may_have_run(received: bytes) -> None:
     async def scenario() -> None:
         server = ManualServer()
-        async with pool() as backends:
+        async with open_pool() as backends:
             backends.update(0, server.address, EndpointState.READY)
-            attempt = Try(backends)
+            attempt = RecordedAttempt(backends)
             connection = await server.accept_after(1)
             connection.sendall(received)
-            await until(lambda: backends.held == len(received))
+            await until(lambda: backends.resources.buffered_bytes == len(received))
 
             connection.shutdown(socket.SHUT_RDWR)
             reset(connection)
 
             assert await attempt.result() == (Outcome.CONNECTION_RESET, b"")
             assert not backends.connections
-            assert backends.held == 0
+            assert backends.resources.buffered_bytes == 0
         server.close()
 
     in_loop(scenario)
@@ -40,20 +40,22 @@
 
 def test_close_that_crosses_a_send_may_have_run(monkeypatch: pytest.MonkeyPatch) -> None:
     """The backend's close is on its way as the request is written: nobody here can know yet."""
-    monkeypatch.setattr("gateway.network.backend_pool.BackendConnection.alive", lambda _connection: True)
+    monkeypatch.setattr(
+        "gateway.network.backend_connection.BackendConnection.is_alive", lambda _connection: True
+    )
 
     async def scenario() -> None:
         server = ManualServer()
-        async with pool() as backends:
+        async with open_pool() as backends:
             backends.update(0, server.address, EndpointState.READY)
-            first = Try(backends)
+            first = RecordedAttempt(backends)
             connection = await server.accept_after(1)
             connection.sendall(VALUE_REPLY)
             assert (await first.result())[0] is Outcome.OK
-            await rested(backends)
+            await wait_for_reuse_delay(backends)
 
             connection.shutdown(socket.SHUT_RDWR)
-            second = Try(backends)  # in the same turn of the loop
+            second = RecordedAttempt(backends)  # in the same turn of the loop
 
             assert (await second.result())[0] is Outcome.CONNECTION_RESET
             assert not backends.connections
@@ -67,9 +69,9 @@
 
     async def scenario() -> None:
         server = ManualServer()
-        async with pool() as backends:
+        async with open_pool() as backends:
             backends.update(0, server.address, EndpointState.READY)
-            first = Try(backends)
+            first = RecordedAttempt(backends)
             connection = await server.accept_after(1)
 
             connection.sendall(VALUE_REPLY)
@@ -78,7 +80,7 @@
 
             assert first.endings == [(Outcome.TIMED_OUT, b"")]
             assert not backends.connections
-            second = Try(backends)  # on a connection of its own: the old reply is not its
+            second = RecordedAttempt(backends)  # on a connection of its own: the old reply is not its
             connection = await server.accept_after(1)
             connection.sendall(VALUE_REPLY.replace(b"value", b"other"))
             assert await second.result() == (Outcome.OK, b"other")
@@ -94,13 +96,13 @@
     async def scenario() -> None:
         backend = Backend()
         loop = asyncio.get_running_loop()
-        async with pool(backend, connect_timeout=1) as backends:
-            attempts: list[Try] = []
+        async with open_pool(backend, connect_timeout_ms=1) as backends:
+            attempts: list[RecordedAttempt] = []
             near, far = socket.socketpair()
 
             def start_and_stall() -> None:
                 loop.remove_reader(near)
-                attempts.append(Try(backends))
+                attempts.append(RecordedAttempt(backends))
                 time.sleep(0.02)  # the kernel connects meanwhile
 
             loop.add_reader(near, start_and_stall)
--- a/tests/network/test_dispatcher_endings.py
+++ b/tests/network/test_dispatcher_endings.py
@@ -28,7 +28,7 @@
     TimerFired,
 )
 from gateway.policy.timers import TimerKind, TimerToken
-from tests.network.test_backend_pool import rested
+from tests.support.backend_harness import wait_for_reuse_delay
 from tests.support.clients import call_between_reads, connect, connect_at_once, running_dispatcher
 from tests.support.loopback import (
     LOCAL,
@@ -265,7 +265,7 @@
             other = await connect(port)
             # This leaves a connection on which an attempt is written at once.
             assert await ask(other, b"before") == b"value"
-            await rested(dispatcher.backends)
+            await wait_for_reuse_delay(dispatcher.backends)
             await crossing.send_requests(dispatcher, port)
 
             await call_between_reads(functools.partial(crossing.cross, dispatcher, port))
@@ -303,7 +303,7 @@
                 leaving = connect_at_once(port, encode(*request(b"waits")))
                 await until(lambda: dispatcher.attempts)
                 (connection,) = dispatcher.backends.connections
-                assert not connection.up
+                assert not connection.is_connected
 
                 for filler in fillers:
                     filler.close()
--- a/tests/support/clients.py
+++ b/tests/support/clients.py
@@ -63,7 +63,15 @@
     loop = asyncio.get_running_loop()
     policy = policy or Module()
     timers = TimerQueue(loop)
-    backends = BackendPool(loop, timers, 60_000, 15_000, 1_000, max_connections, 1_000_000)
+    backends = BackendPool(
+        loop,
+        timers,
+        connect_timeout_ms=60_000,
+        keepalive_ms=15_000,
+        drain_grace_ms=1_000,
+        max_connections=max_connections,
+        max_buffered_bytes=1_000_000,
+    )
     dispatcher = Dispatcher(
         settings(gateway_count=1, request_classes=(VIEW,)),
         seed=1,
