--- a/tests/scale/test_scale.py
+++ b/tests/scale/test_scale.py
@@ -117,7 +117,7 @@
     for part in ("gateway",):
         shutil.copytree(ROOT / part, other / part, ignore=shutil.ignore_patterns("__pycache__"))
     slower = other / "gateway" / "network" / "dispatcher.py"
-    slow = "        for endpoint in endpoints:\n            self.backends.update("
+    slow = "        for listed in listed_endpoints:\n            self.backends.update("
     assert slow in slower.read_text()
     slower.write_text(slower.read_text().replace(slow, "        sum(range(2_000_000))\n" + slow))
     sizes = "--backends 40 --customers 1000 --fleet 10 --alone 2 --burst 5 --steady 0.2 --repeats 1"
