Hold the ports of started processes so that no other process is given them

A run of the whole suite on three workers failed once: of twenty processes that start with discovery unreachable, one was never ready.

--- a/tests/network/test_descriptor_budget.py
+++ b/tests/network/test_descriptor_budget.py
@@ -13,7 +13,7 @@
 import pytest
 
 from gateway.network.descriptor_budget import RESERVED_DESCRIPTORS, budget_descriptors
-from tests.support.gateway_process import connect, free_port, launched
+from tests.support.gateway_process import connect, launched, port_of, reserve_port
 from tests.support.loopback import (
     LOCAL,
     SETTINGS,
@@ -59,13 +59,14 @@
     def __init__(self, *, is_silent: bool) -> None:
         super().__init__()
         self.is_silent = is_silent
+        self.reservation = reserve_port()
         self.recovered = asyncio.Event()
 
     async def start(self) -> None:
         if self.is_silent:
             await super().start()
         else:
-            self.port = free_port()
+            self.port = port_of(self.reservation)
 
     async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         await self.recovered.wait()
@@ -74,6 +75,7 @@
     async def stop(self) -> None:
         if self.is_silent or self.recovered.is_set():
             await super().stop()
+        self.reservation.close()
 
     async def recover(self) -> None:
         if not self.is_silent:
--- a/tests/network/test_starts.py
+++ b/tests/network/test_starts.py
@@ -14,7 +14,7 @@
 
 import pytest
 
-from tests.support.gateway_process import end_process, start_process
+from tests.support.gateway_process import end_process, port_of, reserve_port, start_process
 from tests.support.loopback import LOCAL, Discovery, Peer, World, host, in_loop
 
 PROCESSES = 20
@@ -36,7 +36,7 @@
 class SilentDiscovery(Discovery):
     """Accepts calls and never answers."""
 
-    async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:  # noqa: ARG002 - as its base
+    async def talk(self, reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
         await reader.read()
 
 
@@ -111,7 +111,8 @@
     try:
         waits = []
         for port, config in configs.items():
-            processes.append(await start_process(config, stderr=asyncio.subprocess.DEVNULL))
+            with config.with_suffix(".log").open("ab") as log:
+                processes.append(await start_process(config, stderr=log))
             waits.append(asyncio.create_task(first_reply(port, time.monotonic())))
         readiness = await asyncio.gather(*waits)
     finally:
@@ -123,11 +124,9 @@
     return sorted(after_s for after_s, _ in readiness)
 
 
-def write_configs(folder: Path, discovery: int) -> dict[int, Path]:
+def write_configs(folder: Path, ports: list[int], discovery: int) -> dict[int, Path]:
     """A configuration for each process, by the port that it listens on."""
-    with contextlib.ExitStack() as stack:
-        free = [stack.enter_context(socket.create_server((LOCAL, 0))) for _ in range(PROCESSES)]
-        configs = {each.getsockname()[1]: folder / f"{number}.json" for number, each in enumerate(free)}
+    configs = {port: folder / f"{port}.json" for port in ports}
     cached = {"seq": 41, "whole": True, "hosts": listed_hosts()}
     for port, path in configs.items():
         addresses = {"listen": f"{LOCAL}:{port}", "discovery": f"{LOCAL}:{discovery}"}
@@ -135,14 +134,29 @@
     return configs
 
 
+@pytest.fixture
+def ports() -> Iterator[list[int]]:
+    """Ports for the processes to listen on, which nobody else is given meanwhile."""
+    with contextlib.ExitStack() as stack:
+        yield [port_of(stack.enter_context(reserve_port())) for _ in range(PROCESSES)]
+
+
+def last_log_lines(configs: dict[int, Path]) -> str:
+    """What each process that logged an error said last."""
+    logs = [path.with_suffix(".log").read_text() for path in configs.values()]
+    return "\n".join(log.splitlines()[-1] for log in logs if "Error" in log)
+
+
 @pytest.mark.timeout(150)
 @pytest.mark.parametrize("state", ["up", "refuses", "silent", "unreachable"])
-def test_nine_in_ten_of_many_that_start_at_once_are_ready_in_time(state: str, tmp_path: Path) -> None:
+def test_nine_in_ten_of_many_that_start_at_once_are_ready_in_time(
+    state: str, ports: list[int], tmp_path: Path
+) -> None:
     """The second start comes after an outright end, with clients connected."""
 
     async def scenario() -> None:
-        async with discovery_port(state) as port:
-            configs = write_configs(tmp_path, port)
+        async with discovery_port(state) as discovery:
+            configs = write_configs(tmp_path, ports, discovery)
             for turn in ("first start", "restart"):
                 times_s = await start_all(configs)
 
@@ -153,6 +167,6 @@
                 )
                 print(line)
                 assert nine_in_ten_s < READY_TIMEOUT_S, line
-                assert slowest_s < LAST_READY_TIMEOUT_S, line
+                assert slowest_s < LAST_READY_TIMEOUT_S, f"{line}\n{last_log_lines(configs)}"
 
     in_loop(scenario, 140)
--- a/tests/support/gateway_process.py
+++ b/tests/support/gateway_process.py
@@ -46,9 +46,19 @@
             await asyncio.sleep(0.01)
 
 
-def free_port() -> int:
-    with socket.create_server((LOCAL, 0)) as server:
-        return int(server.getsockname()[1])
+def reserve_port() -> socket.socket:
+    """A socket whose port nobody else is given while it is open, though a server may listen there.
+
+    A port that is merely free may be given to any other process before the server listens.
+    """
+    reservation = socket.socket()
+    reservation.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    reservation.bind((LOCAL, 0))
+    return reservation
+
+
+def port_of(reservation: socket.socket) -> int:
+    return int(reservation.getsockname()[1])
 
 
 @dataclass
@@ -69,12 +79,13 @@
     stderr: int | IO[bytes] = asyncio.subprocess.PIPE,
 ) -> AsyncIterator[GatewayProcess]:
     """A gateway process in a world whose servers, and the others, run as long as it does."""
-    async with serving(*world.servers, *other_servers):
-        port = free_port()
-        config = folder / "config.json"
-        config.write_text(json.dumps({**world.config(), "listen": f"{LOCAL}:{port}"}))
-        process = await start_process(config, command, stderr)
-        try:
-            yield GatewayProcess(process, config, port)
-        finally:
-            await end_process(process)
+    with reserve_port() as reservation:
+        async with serving(*world.servers, *other_servers):
+            port = port_of(reservation)
+            config = folder / "config.json"
+            config.write_text(json.dumps({**world.config(), "listen": f"{LOCAL}:{port}"}))
+            process = await start_process(config, command, stderr)
+            try:
+                yield GatewayProcess(process, config, port)
+            finally:
+                await end_process(process)
