Split the simulator's adapter into decoding, encoding and the host of instances

Messages on stderr keep their form; where Python words a missing value, the text is that of unpacking a list rather than of a call.

--- a/gateway/policy/endpoint_records.py
+++ b/gateway/policy/endpoint_records.py
@@ -13,7 +13,7 @@
 Record = bytes
 """Serial number, zone number, cell, start time (ms) and readiness of a backend, in `RECORD_LAYOUT`."""
 
-RECORD_LAYOUT = struct.Struct(">qqqd?")
+RECORD_LAYOUT = struct.Struct(">8sqqd?")
 CELL_LAYOUT = struct.Struct(">qq")  # the zone number and the cell
 SERIAL_BYTES = slice(0, 8)  # big-endian: they sort as the numbers do
 CELL_BYTES = slice(8, 24)  # in `CELL_LAYOUT`
@@ -25,16 +25,19 @@
 
     def __init__(self) -> None:
         self._zone_numbers: dict[str, int] = {}
+        self._zones: list[str] = []
         self._last_serial = 0
 
     def pack(self, endpoint: Endpoint, previous: Record | None) -> Record:
         """The record of an endpoint; it keeps the serial number of its previous record, if there is one."""
         if previous is None:
             self._last_serial += 1
-            serial = self._last_serial
+            serial = self._last_serial.to_bytes(8, "big")
         else:
-            serial = RECORD_LAYOUT.unpack(previous)[0]
-        zone_number = self._zone_numbers.setdefault(endpoint.zone, len(self._zone_numbers))
+            serial = previous[SERIAL_BYTES]
+        zone_number = self._zone_numbers.setdefault(endpoint.zone, len(self._zones))
+        if zone_number == len(self._zones):
+            self._zones.append(endpoint.zone)
         ready = endpoint.state is EndpointState.READY
         return RECORD_LAYOUT.pack(serial, zone_number, endpoint.cell, endpoint.started_at, ready)
 
@@ -42,7 +45,7 @@
         """The endpoint that a record was packed from."""
         _, zone_number, cell, started_at, is_ready = RECORD_LAYOUT.unpack(record)
         state = EndpointState.READY if is_ready else EndpointState.DRAINING
-        return Endpoint(backend_id, list(self._zone_numbers)[zone_number], cell, started_at, state)
+        return Endpoint(backend_id, self._zones[zone_number], cell, started_at, state)
 
     def cell_key(self, zone: str, cell: int) -> bytes:
         """The `CELL_BYTES` of the records of a cell's backends."""
--- a/gateway/policy/subsetting.py
+++ b/gateway/policy/subsetting.py
@@ -138,13 +138,13 @@
             return
         self.ring = rebuild.ring
         self._rebuild = None
-        window = self._assigned_window(len(self.ring))
+        window = assign_window(self._gateway_index, self._gateway_count, len(self.ring))
         if window.round_number != self.ring.round_number:  # many backends came or went meanwhile
             self._start_rebuild()
             return
         self._window_start = window.start
         self.backend_ids = self.ring.backends_between(window.start, window.end)
-        self.backends = [self._create_backend(self._endpoint(backend_id)) for backend_id in self.backend_ids]
+        self.backends = [self._create(backend_id) for backend_id in self.backend_ids]
 
     def sample_outside(self, rng: random.Random, cell: tuple[str, int] | None = None) -> list[Endpoint]:
         """Ready backends for a request that none of the subset may serve.
@@ -162,10 +162,11 @@
         else:
             start = rng.randrange(max(1, len(self.ring) - MAX_SAMPLE_SIZE))
             found = self.ring.backends_between(start, start + MAX_SAMPLE_SIZE)
-        return [self._endpoint(b) for b in found if b in records and records[b][READY_BYTE]]
+        unpack = self._codec.unpack
+        return [unpack(b, records[b]) for b in found if b in records and records[b][READY_BYTE]]
 
-    def _endpoint(self, backend_id: int) -> Endpoint:
-        return self._codec.unpack(backend_id, self.records[backend_id])
+    def _create(self, backend_id: int) -> BackendT:
+        return self._create_backend(self._codec.unpack(backend_id, self.records[backend_id]))
 
     # ---- the endpoint list ----
 
@@ -250,20 +251,17 @@
     def _start_rebuild(self) -> None:
         """Begin a new ring of all listed backends; a short one is in force at once."""
         ready_count = sum(record[READY_BYTE] for record in self.records.values())
-        round_number = self._assigned_window(ready_count).round_number
-        ring = Ring(round_number, has_cell_index=self.ring.has_cell_index)
+        window = assign_window(self._gateway_index, self._gateway_count, ready_count)
+        ring = Ring(window.round_number, has_cell_index=self.ring.has_cell_index)
         self._rebuild = Rebuild(ring, list(self.records))
         if len(self.records) <= MAX_CHANGES_AT_ONCE:
             self.continue_rebuild(MAX_CHANGES_AT_ONCE)
 
     # ---- the window ----
 
-    def _assigned_window(self, ready_count: int) -> Window:
-        return assign_window(self._gateway_index, self._gateway_count, ready_count)
-
     def _insert_into_window(self, offset: int, backend_id: int) -> None:
         self.backend_ids.insert(offset, backend_id)
-        self.backends.insert(offset, self._create_backend(self._endpoint(backend_id)))
+        self.backends.insert(offset, self._create(backend_id))
 
     def _drop_from_window(self, offset: int) -> None:
         del self.backend_ids[offset]
@@ -273,22 +271,25 @@
         """Move the edges of the window to where they are to be with the backends that are ready now."""
         if self._rebuild is not None:
             return
-        window = self._assigned_window(len(self.ring))
-        if window.round_number != self.ring.round_number:
+        ready_count = len(self.ring.sort_keys)
+        round_number, start, end = assign_window(self._gateway_index, self._gateway_count, ready_count)
+        if round_number != self.ring.round_number:
             self._start_rebuild()
             return
-        if window.start >= self._window_start + len(self.backend_ids) or window.end <= self._window_start:
-            self._window_start = window.start
+        if start >= self._window_start + len(self.backend_ids) or end <= self._window_start:
+            self._window_start = start
             self.backend_ids = []
             self.backends = []
-        while self._window_start < window.start:
+        while self._window_start < start:
             self._drop_from_window(0)
             self._window_start += 1
-        while self._window_start > window.start:
+        while self._window_start > start:
             self._window_start -= 1
             (backend_id,) = self.ring.backends_between(self._window_start, self._window_start + 1)
             self._insert_into_window(0, backend_id)
-        while self._window_start + len(self.backend_ids) > window.end:
+        while self._window_start + len(self.backend_ids) > end:
             self._drop_from_window(-1)
-        for backend_id in self.ring.backends_between(self._window_start + len(self.backend_ids), window.end):
-            self._insert_into_window(len(self.backend_ids), backend_id)
+        if self._window_start + len(self.backend_ids) < end:
+            missing = self.ring.backends_between(self._window_start + len(self.backend_ids), end)
+            for backend_id in missing:
+                self._insert_into_window(len(self.backend_ids), backend_id)
--- a/gateway/simulator/__init__.py
+++ b/gateway/simulator/__init__.py
@@ -1,1 +1,1 @@
-"""The adapter that lets a simulator drive the policy over standard input and output."""
+"""The adapter that lets a simulator drive the policy over standard input and output. It decides nothing."""
--- /dev/null
+++ b/gateway/simulator/decoding.py
@@ -0,0 +1,160 @@
+"""Decodes the simulator's events into those of the policy.
+
+An event is a JSON array of its name and its values. The words of the simulator's protocol are translated
+here, in `encoding` and in `gateway.settings_document`, and stand nowhere else.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from ..policy.events import (
+    AttemptEnded,
+    ClientDisconnected,
+    CounterResponse,
+    Endpoint,
+    EndpointState,
+    EndpointUpdate,
+    Event,
+    Outcome,
+    PeerMessage,
+    RequestArrived,
+    ResponseStarted,
+    TimerFired,
+    UpdateKind,
+)
+from ..policy.timers import TimerToken
+from .errors import WireFormatError
+
+ENDPOINT_STATES = {
+    "ready": EndpointState.READY,
+    "draining": EndpointState.DRAINING,
+    "gone": EndpointState.REMOVED,
+}
+UPDATE_KINDS = {
+    "INCREMENTAL": UpdateKind.DELTA,
+    "FULL": UpdateKind.SNAPSHOT,
+    "SAVED": UpdateKind.CACHED,
+    "FAILED": UpdateKind.WATCH_FAILED,
+}
+OUTCOMES = {
+    "Ok": Outcome.OK,
+    "Failed": Outcome.FAILED,
+    "QueueFull": Outcome.QUEUE_FULL,
+    "TimedOut": Outcome.TIMED_OUT,
+    "ConnectError": Outcome.CONNECT_ERROR,
+    "ResetByPeer": Outcome.CONNECTION_RESET,
+    "Canceled": Outcome.CANCELLED,
+    "Ignored": Outcome.NOT_STARTED,
+}
+RETRY_FLAG = 2
+"""The bit of a request's flags that says that its client asks again."""
+FLAGS_POSITION = 8
+"""The place of a request's flags among its values; they may be left out."""
+
+
+def decode_event(name: str, values: list[Any]) -> Event | None:
+    """The event of that name, or None if the policy has no use for it.
+
+    Raises WireFormatError for an unknown name, and KeyError, IndexError, TypeError or ValueError where a
+    value is missing or not of its type.
+    """
+    decode = EVENT_DECODERS.get(name)
+    if decode is None:
+        raise WireFormatError(f"unknown event {name!r}")
+    return decode(values)
+
+
+def _decode_endpoint(values: list[Any]) -> Endpoint:
+    zone, cell, started_at, state, _weight, backend_id = values[:6]
+    return Endpoint(
+        backend_id=int(backend_id),
+        zone=str(zone or ""),
+        cell=int(cell or 0),
+        started_at=float(started_at or 0),
+        state=ENDPOINT_STATES[state],
+    )
+
+
+def _decode_endpoint_update(values: list[Any]) -> Event:
+    scope, _revision, entries = values[:3]
+    return EndpointUpdate(UPDATE_KINDS[scope], tuple(_decode_endpoint(entry) for entry in entries or ()))
+
+
+def _decode_request(values: list[Any]) -> Event:
+    request_id, request_class, plan, customer, deadline, cost, set_size, set_start = values[:FLAGS_POSITION]
+    flags = values[FLAGS_POSITION] if len(values) > FLAGS_POSITION else 0
+    return RequestArrived(
+        request_id=_text(request_id),
+        request_class=_text(request_class),
+        plan=str(plan or ""),
+        customer=str(customer or ""),
+        deadline=float(deadline),
+        cost=float(cost or 0),
+        gateway_set_size=int(set_size or 1),
+        gateway_set_start=int(set_start or 0),
+        is_retry=bool(int(flags or 0) & RETRY_FLAG),
+    )
+
+
+def _decode_attempt_end(values: list[Any]) -> Event:
+    request_id, _settled, latency_ms, outcome, is_finished, attempt_number, backend_id = values[:7]
+    return AttemptEnded(
+        request_id=_text(request_id),
+        attempt_number=int(attempt_number),
+        backend_id=int(backend_id),
+        outcome=OUTCOMES[outcome],
+        latency_ms=float(latency_ms or 0),
+        request_finished=bool(is_finished),
+    )
+
+
+def _decode_response_start(values: list[Any]) -> Event:
+    request_id, attempt_number, backend_id = values[:3]
+    return ResponseStarted(_text(request_id), int(attempt_number), int(backend_id))
+
+
+def _decode_disconnect(values: list[Any]) -> Event:
+    return ClientDisconnected(_text(values[0]))
+
+
+def _decode_counter_response(values: list[Any]) -> Event:
+    total, _latency_ms, outcome, name = values[:4]
+    return CounterResponse(_text(name), OUTCOMES[outcome], float(total or 0))
+
+
+def _decode_timer(values: list[Any]) -> Event | None:
+    token = _text(values[0])
+    try:
+        return TimerFired(TimerToken.decode(token))
+    except ValueError:
+        return None  # not a timer of the policy
+
+
+def _decode_peer_message(values: list[Any]) -> Event:
+    sender, payload = values[:2]
+    return PeerMessage(int(sender), bytes.fromhex(payload))
+
+
+def _ignore(_: list[Any]) -> None:
+    return None
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, str):
+        raise WireFormatError(f"expected text, got {value!r}")
+    return value
+
+
+EVENT_DECODERS: dict[str, Callable[[list[Any]], Event | None]] = {
+    "backendsChanged": _decode_endpoint_update,
+    "jobIn": _decode_request,
+    "ended": _decode_attempt_end,
+    "underWay": _decode_response_start,
+    "lapsed": _decode_disconnect,
+    "ledgerReply": _decode_counter_response,
+    "wakeup": _decode_timer,
+    "whisper": _decode_peer_message,
+    "health": _ignore,
+}
--- /dev/null
+++ b/gateway/simulator/encoding.py
@@ -0,0 +1,64 @@
+"""Encodes the policy's actions for the simulator: each as an array of its name and its values."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from typing import Any
+
+from ..policy.actions import (
+    Action,
+    CancelAttempt,
+    Fail,
+    IncrementCounter,
+    Reject,
+    SetTimer,
+    StartAttempt,
+    WatchEndpoints,
+)
+
+WireAction = list[Any]
+
+
+def encode_actions(actions: Iterable[Action]) -> list[WireAction]:
+    """The actions in the simulator's form, in their order."""
+    return [ACTION_ENCODERS[type(action)](action) for action in actions]
+
+
+def _encode_attempt(action: StartAttempt) -> WireAction:
+    # `start_before` is left out: the simulator starts an attempt at once, so it never passes.
+    return ["callOut", action.request_id, action.timeout_ms, action.backend_id]
+
+
+def _encode_cancellation(action: CancelAttempt) -> WireAction:
+    return ["cancel", action.request_id, action.attempt_number]
+
+
+def _encode_rejection(action: Reject) -> WireAction:
+    return ["bounce", action.request_id, action.retry_after_ms]
+
+
+def _encode_failure(action: Fail) -> WireAction:
+    return ["dropRequest", action.request_id]
+
+
+def _encode_timer(action: SetTimer) -> WireAction:
+    return ["sleep", action.delay_ms, action.token.encode()]
+
+
+def _encode_increment(action: IncrementCounter) -> WireAction:
+    return ["incr", action.name, action.expires_in_ms, action.amount]
+
+
+def _encode_watch(action: WatchEndpoints) -> WireAction:
+    return ["follow", action.enabled]
+
+
+ACTION_ENCODERS: dict[type[Action], Callable[[Any], WireAction]] = {
+    StartAttempt: _encode_attempt,
+    CancelAttempt: _encode_cancellation,
+    Reject: _encode_rejection,
+    Fail: _encode_failure,
+    SetTimer: _encode_timer,
+    IncrementCounter: _encode_increment,
+    WatchEndpoints: _encode_watch,
+}
--- a/tests/simulator/test_adapter.py
+++ b/tests/simulator/test_adapter.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from gateway.simulator import adapter
+from gateway.simulator.__main__ import main
 
 SETUP = {
     "az": "a",
@@ -33,7 +33,7 @@
 
 def play(*lines: str) -> tuple[int, list[dict[str, object]]]:
     out = io.StringIO()
-    code = adapter.main(io.StringIO("".join(lines)), out)
+    code = main(io.StringIO("".join(lines)), out)
     return code, [json.loads(line) for line in out.getvalue().splitlines()]
 
 
