--- a/tests/policy/test_fleet.py
+++ b/tests/policy/test_fleet.py
@@ -10,7 +10,15 @@
 
 from gateway.policy.settings import Plan
 from gateway.policy.shared_bucket import MEMORY_MS, PERIOD_MS, SharedTokenBucket
-from tests.support.fleet import Caller, Fleet, Store
+from tests.support.fleet import (
+    Caller,
+    Conditions,
+    CountKey,
+    Fleet,
+    FleetEvent,
+    QuotaStore,
+    exponential_latency,
+)
 
 GATEWAYS = 40
 SMALL = Plan("small", rate=0.4, burst=2, over_quota_cost=1.2)
@@ -35,16 +43,20 @@
     offered = 0
 
     class Counting(Fleet):
-        def first_try(self, caller: Caller) -> None:
+        def send_first(self, caller: Caller) -> None:
             nonlocal offered
             offered += ideal[caller.name].take(self.now)
-            super().first_try(caller)
+            super().send_first(caller)
 
     callers = customers()
-    fleet = Counting(GATEWAYS, callers, counter_per_s=counter_per_s, retries=2, max_retry_after_ms=1000.0)
-    ideal = {c.name: Store(c.plan, c.plan.burst, fleet.now) for c in callers}
+    conditions = Conditions(counter_calls_per_s=counter_per_s, client_retries=2)
+    fleet = Counting(GATEWAYS, callers, conditions, max_retry_after_ms=1000.0)
+    ideal = {c.name: QuotaStore(c.plan, c.plan.burst, fleet.now) for c in callers}
     seen = fleet.play(20)
-    inside, beyond = (sum(seen[kind, plan.name] for plan in (SMALL, LARGE)) for kind in ("inside", "beyond"))
+    inside, beyond = (
+        sum(seen[CountKey(event, plan.name)] for plan in (SMALL, LARGE))
+        for event in (FleetEvent.SENT_WITHIN_QUOTA, FleetEvent.SENT_BEYOND_QUOTA)
+    )
     return inside / offered, beyond / offered
 
 
@@ -74,7 +86,7 @@
     """A policy that knows a customer's true store, as it was a little ago."""
 
     def __init__(self, plan: Plan, now: float) -> None:
-        self.store = Store(plan, plan.burst, now)
+        self.store = QuotaStore(plan, plan.burst, now)
         self.levels = deque([(now, plan.burst)])
 
     def price(self, now: float) -> float:
@@ -86,7 +98,7 @@
         if min(plan.burst, units + max(0.0, now - LATE_MS - at) / 1000 * plan.rate) < 1:
             return 0.0
         inside = self.store.take(now)
-        self.levels.append((now, self.store.units))
+        self.levels.append((now, self.store.tokens))
         return 0.0 if inside else plan.over_quota_cost
 
 
@@ -112,28 +124,34 @@
     offered, late_price = 0, 0.0
 
     class Counting(Fleet):
-        def first_try(self, caller: Caller) -> None:
+        def send_first(self, caller: Caller) -> None:
             nonlocal offered, late_price
             offered += ideal[caller.name].take(self.now)
             late_price += late[caller.name].price(self.now)
-            super().first_try(caller)
+            super().send_first(caller)
 
     fleet = Counting(
         FULL_SIZE,
         callers,
-        seed=seed,
-        counter_per_s=counter_per_s,
-        counter_queue=round(counter_per_s / 10),  # a tenth of a second's
-        counter_wait=50.0,
-        answer_ms=lambda chance, _: chance.expovariate(1 / 150),
+        Conditions(
+            seed=seed,
+            counter_calls_per_s=counter_per_s,
+            counter_queue_length=round(counter_per_s / 10),  # a tenth of a second's
+            counter_timeout_ms=50.0,
+            latency_ms=exponential_latency(150),
+        ),
     )
     late = {c.name: LateSeer(c.plan, fleet.now) for c in callers}
-    ideal = {c.name: Store(c.plan, c.plan.burst, fleet.now) for c in callers}
+    ideal = {c.name: QuotaStore(c.plan, c.plan.burst, fleet.now) for c in callers}
     seen = fleet.play(10)
-    inside = seen["inside", THIN.name] + seen["inside", WIDE.name]
-    price = sum(seen["beyond", plan.name] * plan.over_quota_cost for plan in (THIN, WIDE))
-    asked = seen["counted"] + seen["turned away"]
-    answered = (seen["counted"] - seen["late"]) / asked
+    inside = sum(seen[CountKey(FleetEvent.SENT_WITHIN_QUOTA, plan.name)] for plan in (THIN, WIDE))
+    price = sum(
+        seen[CountKey(FleetEvent.SENT_BEYOND_QUOTA, plan.name)] * plan.over_quota_cost
+        for plan in (THIN, WIDE)
+    )
+    handled = seen[CountKey(FleetEvent.COUNTER_CALL_HANDLED)]
+    asked = handled + seen[CountKey(FleetEvent.COUNTER_CALL_REJECTED)]
+    answered = (handled - seen[CountKey(FleetEvent.COUNTER_CALL_TIMED_OUT)]) / asked
     return QuietDay(inside / offered, price / offered, late_price / offered, answered)
 
 
@@ -156,21 +174,25 @@
     """Danger: the ratio of five out to six answers a second jumps by chance, and every gateway refuses."""
     free = Plan("free")
     callers = [Caller(f"c{i}", free, 6.0, [i]) for i in range(GATEWAYS)]
-    fleet = Fleet(
-        GATEWAYS, callers, counter_available=False, answer_ms=lambda chance, _: chance.expovariate(1 / 400)
-    )
+    fleet = Fleet(GATEWAYS, callers, Conditions(latency_ms=exponential_latency(400)), counter_available=False)
     seen = fleet.play(30)
-    assert seen["asked", "free"] > 6_000
-    assert seen["refused with room", "free"] < 0.02 * seen["asked", "free"]
+    assert seen[CountKey(FleetEvent.REQUESTED, "free")] > 6_000
+    assert (
+        seen[CountKey(FleetEvent.REJECTED_WITHIN_QUOTA, "free")]
+        < 0.02 * seen[CountKey(FleetEvent.REQUESTED, "free")]
+    )
 
 
 def test_a_handful_out_at_slow_backends_is_still_shed() -> None:
     """Danger: no gateway of a large fleet sees a queue, and all of them wait in it."""
     free = Plan("free")
     callers = [Caller(f"c{i}", free, 6.0, [i]) for i in range(GATEWAYS)]
-    fleet = Fleet(GATEWAYS, callers, counter_available=False, answer_ms=lambda *_: 1_500.0)
+    fleet = Fleet(GATEWAYS, callers, Conditions(latency_ms=lambda *_: 1_500.0), counter_available=False)
     seen = fleet.play(30)
-    assert seen["refused with room", "free"] > 0.3 * seen["asked", "free"]
+    assert (
+        seen[CountKey(FleetEvent.REJECTED_WITHIN_QUOTA, "free")]
+        > 0.3 * seen[CountKey(FleetEvent.REQUESTED, "free")]
+    )
 
 
 BUCKET = SharedTokenBucket.of("customer", rate=2.0, burst=8.0)
@@ -201,15 +223,15 @@
 def test_idle_time_is_taken_off_the_number_once(also: bool) -> None:
     """Danger: two gateways that put it right at once leave a calm customer in debt."""
     caller = Caller("calm", LARGE, 0.2, list(range(30)))
-    fleet = Fleet(GATEWAYS, [caller], seed=3, max_retry_after_ms=1000.0)
-    fleet.ask(caller, 1)
+    fleet = Fleet(GATEWAYS, [caller], Conditions(seed=3), max_retry_after_ms=1000.0)
+    fleet.send_request(caller, 1)
     fleet.play(0.1)
     fleet.now += 6_000  # six seconds fill no further a bucket that was full
-    fleet.ask(caller, 1)
+    fleet.send_request(caller, 1)
     if also:
-        fleet.ask(caller, 1)
+        fleet.send_request(caller, 1)
     fleet.play(0.1)
     bucket = SharedTokenBucket.of("calm", LARGE.rate, LARGE.burst)
     period = bucket.period(fleet.now)
-    level = bucket.level(fleet.now, period, fleet.numbers[bucket.name(period)])
-    assert level == pytest.approx(fleet.stores["calm"].fill(fleet.now), abs=1.0)
+    level = bucket.level(fleet.now, period, fleet.counter_totals[bucket.name(period)])
+    assert level == pytest.approx(fleet.quotas["calm"].refill(fleet.now), abs=1.0)
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -1,6 +1,6 @@
-"""Many gateways in virtual time: their clients, their counter, a true quota store and backends that answer.
+"""A fleet of policies in virtual time: their clients, the counter, a true quota store and the backends.
 
-Nothing here waits: events are taken in the order of their times, and chance comes from one seed.
+Nothing here waits: events are handled in the order of their times, and all chance comes from one seed.
 """
 
 from __future__ import annotations
@@ -8,9 +8,11 @@
 import heapq
 import math
 import random
-from collections import Counter as Tally
+from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from enum import Enum, auto
+from typing import NamedTuple
 
 from gateway.policy.actions import Action, Fail, IncrementCounter, Reject, SetTimer, StartAttempt
 from gateway.policy.events import (
@@ -29,7 +31,39 @@
 from gateway.policy.settings import Plan
 from tests.support.policy_harness import settings
 
-WIRE_MS = 1.0  # from a gateway to the counter, and back
+MS_PER_S = 1000.0
+START_MS = 100_000.0
+"""The virtual time at which a fleet starts."""
+COUNTER_ONE_WAY_MS = 1.0
+"""From a gateway to the counter, and back."""
+REQUEST_LIFETIME_MS = 3000.0
+"""From a request's arrival to its deadline."""
+
+
+class FleetEvent(Enum):
+    """What a fleet counts."""
+
+    REQUESTED = auto()
+    SENT_WITHIN_QUOTA = auto()
+    SENT_BEYOND_QUOTA = auto()
+    REJECTED_WITHIN_QUOTA = auto()
+    """Rejected though the quota had capacity for it."""
+    REJECTED_BEYOND_QUOTA = auto()
+    COUNTER_CALL_HANDLED = auto()
+    COUNTER_CALL_REJECTED = auto()
+    COUNTER_CALL_TIMED_OUT = auto()
+    """Handled, but later than its gateway waits."""
+    HEDGED = auto()
+    """An attempt beside an earlier one of its request."""
+    RETRIED = auto()
+    """An attempt after all earlier ones of its request have ended."""
+
+
+class CountKey(NamedTuple):
+    """An event, and the plan of the customer that it concerns where it concerns one."""
+
+    event: FleetEvent
+    plan: str = ""
 
 
 @dataclass
@@ -38,150 +72,231 @@
 
     name: str
     plan: Plan
-    rate: float  # first tries a second
+    rate: float
+    """Requests a second, without their retries."""
     gateways: list[int]
     weights: list[float] = field(default_factory=list)
 
     def __post_init__(self) -> None:
+        """Weigh the gateways by their order, unless told otherwise."""
         self.weights = self.weights or [1 / (place + 1) for place in range(len(self.gateways))]
 
 
 @dataclass
-class Store:
+class QuotaStore:
     """A customer's quota as its contract words it: what is beyond the quota takes nothing."""
 
     plan: Plan
-    units: float
-    at: float
+    tokens: float
+    refilled_at: float
 
     def take(self, now: float) -> bool:
-        if inside := self.fill(now) >= 1:
-            self.units -= 1
-        return inside
+        """Take one token; False if there is none."""
+        has_token = self.refill(now) >= 1
+        if has_token:
+            self.tokens -= 1
+        return has_token
 
-    def fill(self, now: float) -> float:
+    def refill(self, now: float) -> float:
+        """Add what was earned since the last time; returns the tokens there are, infinite without a quota."""
         if not self.plan.rate:
             return math.inf
-        self.units = min(self.plan.burst, self.units + (now - self.at) / 1000 * self.plan.rate)
-        self.at = now
-        return self.units
+        earned = (now - self.refilled_at) / MS_PER_S * self.plan.rate
+        self.tokens = min(self.plan.burst, self.tokens + earned)
+        self.refilled_at = now
+        return self.tokens
+
+
+@dataclass
+class FleetRequest:
+    """A request that a client sent to a gateway."""
+
+    caller: Caller
+    tries: int
+    """Of its client, with this one."""
+    attempt_count: int = 0
+    """Attempts that its gateway has started."""
+
+
+def exponential_latency(mean_ms: float) -> Callable[[random.Random, int], float]:
+    """Latencies of any backend that are drawn from an exponential distribution."""
+    return lambda rng, _backend_id: rng.expovariate(1 / mean_ms)
+
+
+def ready_backends(count: int) -> tuple[Endpoint, ...]:
+    """Backends of one cell that have long been ready."""
+    return tuple(Endpoint(number, "a", 0, 0.0, EndpointState.READY) for number in range(count))
+
+
+TYPICAL_LATENCY = exponential_latency(300)
+SIXTY_READY_BACKENDS = ready_backends(60)
+
+
+@dataclass(frozen=True)
+class Conditions:
+    """What a fleet's policies meet."""
+
+    seed: int = 1
+    counter_calls_per_s: float = 1e9
+    counter_queue_length: int = 20
+    """Calls that may wait at the counter; it rejects more."""
+    counter_timeout_ms: float = math.inf
+    """How long a gateway waits for the counter's response."""
+    client_retries: int = 0
+    client_retry_delay_ms: float = 200.0
+    """Least delay before a client retries; a longer Retry-After is kept."""
+    latency_ms: Callable[[random.Random, int], float] = TYPICAL_LATENCY
+    """Draws the latency of a backend's response."""
+    backends: tuple[Endpoint, ...] = SIXTY_READY_BACKENDS
 
 
 class Fleet:
-    """Plays events until an end; `seen` counts what all gateways did together, by kind and plan."""
+    """Plays the events of many gateways until an end; `counts` holds what all gateways did together."""
 
     def __init__(
         self,
-        gateways: int,
+        gateway_count: int,
         callers: Iterable[Caller],
-        seed: int = 1,
-        counter_per_s: float = 1e9,
-        counter_queue: int = 20,
-        counter_wait: float = math.inf,
-        retries: int = 0,
-        retry_ms: float = 200.0,
-        answer_ms: Callable[[random.Random, int], float] = lambda chance, _: chance.expovariate(1 / 300),
-        backends: Iterable[Endpoint] = tuple(
-            Endpoint(i, "a", 0, 0.0, EndpointState.READY) for i in range(60)
-        ),
-        **changes: object,
+        conditions: Conditions | None = None,
+        **settings_changes: object,
     ) -> None:
-        self.now, self.serial, self.chance = 100_000.0, 0, random.Random(seed)
-        self.queue: list[tuple[float, int, Callable[[], None]]] = []
+        self.conditions = conditions or Conditions()
+        self.now = START_MS
+        self.rng = random.Random(self.conditions.seed)
         self.callers = list(callers)
-        plans = tuple({c.plan.name: c.plan for c in self.callers}.values())
-        self.gateways = [
+        self.counts: Counter[CountKey] = Counter()
+        self.quotas = {
+            caller.name: QuotaStore(caller.plan, caller.plan.burst, self.now) for caller in self.callers
+        }
+        self.counter_totals: dict[str, float] = {}
+        self.requests: dict[str, FleetRequest] = {}
+        self._last_serial = 0
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._counter_free_at = 0.0
+        self.gateways = self._create_gateways(gateway_count, settings_changes)
+        for index in range(gateway_count):
+            self.deliver(index, EndpointUpdate(UpdateKind.SNAPSHOT, self.conditions.backends))
+        for caller in self.callers:
+            self._schedule_next_request(caller, caller.rate)
+
+    def _create_gateways(self, count: int, settings_changes: dict[str, object]) -> list[GatewayPolicy]:
+        plans = tuple({caller.plan.name: caller.plan for caller in self.callers}.values())
+        return [
             GatewayPolicy(
-                settings(plans=plans, gateway_count=gateways, gateway_index=i, **changes), 1000 * seed + i
+                settings(plans=plans, gateway_count=count, gateway_index=index, **settings_changes),
+                1000 * self.conditions.seed + index,
             )
-            for i in range(gateways)
+            for index in range(count)
         ]
-        self.stores = {c.name: Store(c.plan, c.plan.burst, self.now) for c in self.callers}
-        self.numbers: dict[str, float] = {}
-        self.counter_gap, self.counter_free, self.counter_queue = 1000 / counter_per_s, 0.0, counter_queue
-        self.counter_wait = counter_wait  # how long a gateway waits for an answer, in milliseconds
-        self.retries, self.retry_ms, self.answer_ms = retries, retry_ms, answer_ms
-        self.requests: dict[str, tuple[Caller, int, int]] = {}  # caller, tries made, attempts made
-        self.seen: Tally[object] = Tally()
-        for index in range(gateways):
-            self.give(index, EndpointUpdate(UpdateKind.SNAPSHOT, tuple(backends)))
-        for caller in self.callers:
-            self.later(self.chance.expovariate(caller.rate) * 1000, lambda c=caller: self.first_try(c))
 
-    def later(self, delay: float, act: Callable[[], None]) -> None:
-        self.serial += 1
-        heapq.heappush(self.queue, (self.now + delay, self.serial, act))
+    def schedule(self, delay_ms: float, callback: Callable[[], None]) -> None:
+        """Call back after a delay; what is due at the same time is called in the order of scheduling."""
+        heapq.heappush(self._queue, (self.now + delay_ms, self._next_serial(), callback))
 
-    def play(self, seconds: float) -> Tally[object]:
-        end = self.now + seconds * 1000
-        while self.queue and self.queue[0][0] <= end:
-            self.now, _, act = heapq.heappop(self.queue)
-            act()
+    def play(self, seconds: float) -> Counter[CountKey]:
+        """Let virtual time pass; returns the counts since the start of the fleet."""
+        end = self.now + seconds * MS_PER_S
+        while self._queue and self._queue[0][0] <= end:
+            self.now, _, callback = heapq.heappop(self._queue)
+            callback()
         self.now = end
-        return self.seen
+        return self.counts
+
+    def count(self, event: FleetEvent, plan: str = "") -> None:
+        """Count an event."""
+        self.counts[CountKey(event, plan)] += 1
 
-    def first_try(self, caller: Caller) -> None:
-        self.later(self.chance.expovariate(caller.rate) * 1000, lambda: self.first_try(caller))
-        self.ask(caller, 1)
+    def send_first(self, caller: Caller) -> None:
+        """A customer's next request, and its first try of it."""
+        self._schedule_next_request(caller, caller.rate)
+        self.send_request(caller, 1)
 
-    def ask(self, caller: Caller, tries: int) -> None:
-        self.serial += 1
-        request, (index,) = f"r{self.serial}", self.chance.choices(caller.gateways, caller.weights)
-        self.requests[request] = caller, tries, 0
-        self.seen["asked", caller.plan.name] += 1
+    def send_request(self, caller: Caller, tries: int) -> None:
+        """Deliver a request to one of the customer's gateways."""
+        request_id = f"r{self._next_serial()}"
+        (index,) = self.rng.choices(caller.gateways, caller.weights)
+        self.requests[request_id] = FleetRequest(caller, tries)
+        self.count(FleetEvent.REQUESTED, caller.plan.name)
         event = RequestArrived(
-            request, "view", caller.plan.name, caller.name, self.now + 3000, 1.0,
-            len(caller.gateways), caller.gateways[0], tries > 1,
-        )  # fmt: skip
-        self.give(index, event)
+            request_id=request_id,
+            request_class="view",
+            plan=caller.plan.name,
+            customer=caller.name,
+            deadline=self.now + REQUEST_LIFETIME_MS,
+            cost=1.0,
+            gateway_set_size=len(caller.gateways),
+            gateway_set_start=caller.gateways[0],
+            is_retry=tries > 1,
+        )
+        self.deliver(index, event)
 
-    def give(self, index: int, event: Event) -> None:
+    def deliver(self, index: int, event: Event) -> None:
+        """Let a gateway handle an event, and carry out its actions."""
         for action in self.gateways[index].handle(self.now, event):
-            self.act(index, action)
+            self.carry_out(index, action)
 
-    def act(self, index: int, action: Action) -> None:
+    def carry_out(self, index: int, action: Action) -> None:
+        """Carry out one action of a gateway."""
         match action:
-            case SetTimer(delay, token):
-                self.later(delay, lambda: self.give(index, TimerFired(token)))
+            case SetTimer(delay_ms, token):
+                self.schedule(delay_ms, lambda: self.deliver(index, TimerFired(token)))
             case IncrementCounter(name, amount, _):
-                self.later(WIRE_MS, lambda: self.count(index, name, amount))
-            case StartAttempt(request, backend):
-                self.send(index, request, backend)
-            case Reject(request, wait):
-                self.end(request, wait)
-            case Fail(request):
-                self.end(request, 0.0)
-
-    def count(self, index: int, name: str, amount: float) -> None:
-        """One call after another, and a short line before it; also those that nobody waits for any more."""
-        waiting = (self.counter_free - self.now) / self.counter_gap
-        if waiting > self.counter_queue:
-            self.seen["turned away"] += 1
-            busy = CounterResponse(name, Outcome.QUEUE_FULL, 0.0)
-            return self.later(WIRE_MS, lambda: self.give(index, busy))
-        self.counter_free = max(self.counter_free, self.now) + self.counter_gap
-        total = self.numbers[name] = self.numbers.get(name, 0.0) + amount
-        self.seen["counted"] += 1
-        reply, lag = CounterResponse(name, Outcome.OK, total), self.counter_free - self.now + WIRE_MS
-        if lag > self.counter_wait:
-            self.seen["late"] += 1
-            reply, lag = CounterResponse(name, Outcome.TIMED_OUT, 0.0), self.counter_wait
-        self.later(lag, lambda: self.give(index, reply))
-
-    def send(self, index: int, request: str, backend: int) -> None:
-        caller, tries, attempts = self.requests[request]
-        self.requests[request] = caller, tries, attempts + 1
-        if not attempts:
-            inside = self.stores[caller.name].take(self.now)
-            self.seen["inside" if inside else "beyond", caller.plan.name] += 1
-        lag = self.answer_ms(self.chance, backend)
-        ended = AttemptEnded(request, attempts, backend, Outcome.OK, lag, True)
-        self.later(lag, lambda: self.give(index, ended))
-
-    def end(self, request: str, wait: float) -> None:
-        caller, tries, attempts = self.requests[request]
-        if not attempts:
-            room = self.stores[caller.name].fill(self.now) >= 1
-            self.seen["refused with room" if room else "refused rightly", caller.plan.name] += 1
-        if tries <= self.retries:
-            self.later(max(wait, self.retry_ms), lambda: self.ask(caller, tries + 1))
+                self.schedule(COUNTER_ONE_WAY_MS, lambda: self._increment_counter(index, name, amount))
+            case StartAttempt(request_id, backend_id):
+                self.start_attempt(index, request_id, backend_id)
+            case Reject(request_id, retry_after_ms):
+                self.finish_without_result(request_id, retry_after_ms)
+            case Fail(request_id):
+                self.finish_without_result(request_id, 0.0)
+
+    def start_attempt(self, index: int, request_id: str, backend_id: int) -> None:
+        """Let a backend serve an attempt."""
+        request = self.requests[request_id]
+        attempt_number = request.attempt_count
+        request.attempt_count += 1
+        if attempt_number == 0:
+            is_within_quota = self.quotas[request.caller.name].take(self.now)
+            event = FleetEvent.SENT_WITHIN_QUOTA if is_within_quota else FleetEvent.SENT_BEYOND_QUOTA
+            self.count(event, request.caller.plan.name)
+        latency_ms = self.conditions.latency_ms(self.rng, backend_id)
+        ended = AttemptEnded(request_id, attempt_number, backend_id, Outcome.OK, latency_ms, True)
+        self.schedule(latency_ms, lambda: self.deliver(index, ended))
+
+    def finish_without_result(self, request_id: str, retry_after_ms: float) -> None:
+        """The client has got a rejection or a failure; it retries if it has tries left."""
+        request = self.requests[request_id]
+        caller = request.caller
+        if not request.attempt_count:
+            has_token = self.quotas[caller.name].refill(self.now) >= 1
+            event = FleetEvent.REJECTED_WITHIN_QUOTA if has_token else FleetEvent.REJECTED_BEYOND_QUOTA
+            self.count(event, caller.plan.name)
+        if request.tries <= self.conditions.client_retries:
+            delay_ms = max(retry_after_ms, self.conditions.client_retry_delay_ms)
+            self.schedule(delay_ms, lambda: self.send_request(caller, request.tries + 1))
+
+    def _increment_counter(self, index: int, name: str, amount: float) -> None:
+        """Calls are handled one after another, also those that no gateway waits for any more."""
+        call_ms = MS_PER_S / self.conditions.counter_calls_per_s
+        if (self._counter_free_at - self.now) / call_ms > self.conditions.counter_queue_length:
+            self.count(FleetEvent.COUNTER_CALL_REJECTED)
+            rejection = CounterResponse(name, Outcome.QUEUE_FULL, 0.0)
+            self.schedule(COUNTER_ONE_WAY_MS, lambda: self.deliver(index, rejection))
+            return
+        self._counter_free_at = max(self._counter_free_at, self.now) + call_ms
+        total = self.counter_totals.get(name, 0.0) + amount
+        self.counter_totals[name] = total
+        self.count(FleetEvent.COUNTER_CALL_HANDLED)
+        response = CounterResponse(name, Outcome.OK, total)
+        latency_ms = self._counter_free_at - self.now + COUNTER_ONE_WAY_MS
+        if latency_ms > self.conditions.counter_timeout_ms:
+            self.count(FleetEvent.COUNTER_CALL_TIMED_OUT)
+            response = CounterResponse(name, Outcome.TIMED_OUT, 0.0)
+            latency_ms = self.conditions.counter_timeout_ms
+        self.schedule(latency_ms, lambda: self.deliver(index, response))
+
+    def _schedule_next_request(self, caller: Caller, rate: float) -> None:
+        self.schedule(self.rng.expovariate(rate) * MS_PER_S, lambda: self.send_first(caller))
+
+    def _next_serial(self) -> int:
+        self._last_serial += 1
+        return self._last_serial
