Name the subsetting tests in the field's words, one behaviour each

Cause: the tests spoke of slices, wholes and tellings, and one of them played six seeds in a loop. Change: typed updates and costs, fixtures for the counters and the long list, seeds as parameters, composite asserts split. The policy's own tests at the end of the file keep their calls.

--- a/tests/policy/test_subsetting.py
+++ b/tests/policy/test_subsetting.py
@@ -1,12 +1,13 @@
-"""The list of backends and the slice that a gateway uses: as worked out plainly, and at a bounded cost."""
+"""The endpoint list and a gateway's subset of it: against a plain reference, and at a bounded cost."""
 
 from __future__ import annotations
 
 import hashlib
 import math
 import random
-from collections import Counter as Tally
+from collections import Counter
 from collections.abc import Iterator
+from typing import NamedTuple
 
 import pytest
 
@@ -34,253 +35,364 @@
 from gateway.policy.timers import TimerKind, TimerToken
 from tests.support.policy_harness import KEYED, RULES, SAFE, World, entry, sends, settings
 
-READY, DRAINING, GONE = EndpointState.READY, EndpointState.DRAINING, EndpointState.REMOVED
+READY = EndpointState.READY
+DRAINING = EndpointState.DRAINING
+REMOVED = EndpointState.REMOVED
+FLEET_SIZE = 3_700
+"""Gateways of the fleet that the long lists are for."""
 
 
-class Plain:
-    """The old way, as a reference: everything is sorted and hashed at every change."""
+class ReferenceSubset:
+    """The plain way: everything is sorted and hashed at every change."""
 
-    def __init__(self, index: int, gateways: int) -> None:
-        self.index, self.gateways = index, gateways
+    def __init__(self, gateway_index: int, gateway_count: int) -> None:
+        self.gateway_index = gateway_index
+        self.gateway_count = gateway_count
         self.listed: dict[int, Endpoint] = {}
 
-    def take(self, scope: UpdateKind, entries: list[Endpoint]) -> None:
-        if scope is not UpdateKind.DELTA:
-            named = {e.backend_id for e in entries}
-            self.listed = {i: e for i, e in self.listed.items() if i in named}
-        for e in entries:
-            if e.state is GONE:
-                self.listed.pop(e.backend_id, None)
+    def apply(self, kind: UpdateKind, endpoints: list[Endpoint]) -> None:
+        if kind is not UpdateKind.DELTA:
+            named = {endpoint.backend_id for endpoint in endpoints}
+            self.listed = {
+                backend_id: endpoint for backend_id, endpoint in self.listed.items() if backend_id in named
+            }
+        for endpoint in endpoints:
+            if endpoint.state is REMOVED:
+                self.listed.pop(endpoint.backend_id, None)
             else:
-                self.listed[e.backend_id] = e
+                self.listed[endpoint.backend_id] = endpoint
 
-    def slice(self) -> list[int]:
-        ready = [e.backend_id for e in self.listed.values() if e.state is READY]
-        size = max(SUBSET_SIZE, MIN_GATEWAYS_PER_BACKEND * len(ready) / max(1, self.gateways))
-        places = 2 ** max(0, math.floor(math.log2(max(1.0, len(ready) / size))))
-        turn, place = divmod(self.index, places)
-        if places > 1:
-            ready.sort(key=lambda b: hashlib.blake2b(f"{turn}:{b}".encode(), digest_size=8).digest())
-        return ready[len(ready) * place // places : len(ready) * (place + 1) // places]
+    def ready_ids(self) -> list[int]:
+        return [endpoint.backend_id for endpoint in self.listed.values() if endpoint.state is READY]
 
+    def backend_ids(self) -> list[int]:
+        ready_ids = self.ready_ids()
+        count = len(ready_ids)
+        size = max(SUBSET_SIZE, MIN_GATEWAYS_PER_BACKEND * count / max(1, self.gateway_count))
+        window_count = 2 ** max(0, math.floor(math.log2(max(1.0, count / size))))
+        round_number, number = divmod(self.gateway_index, window_count)
+        if window_count > 1:
+            ready_ids.sort(
+                key=lambda b: hashlib.blake2b(f"{round_number}:{b}".encode(), digest_size=8).digest()
+            )
+        return ready_ids[count * number // window_count : count * (number + 1) // window_count]
 
-def members(index: int = 0, gateways: int = 1, by_cell: bool = False) -> EndpointSubset[int]:
-    return EndpointSubset(index, gateways, lambda e: e.backend_id, by_cell)
 
+def create_subset(
+    gateway_index: int = 0, gateway_count: int = 1, *, has_cell_index: bool = False
+) -> EndpointSubset[int]:
+    return EndpointSubset(gateway_index, gateway_count, lambda endpoint: endpoint.backend_id, has_cell_index)
 
-def tell(m: EndpointSubset[int], scope: UpdateKind, entries: list[Endpoint], parts: int = 1) -> None:
-    size = max(1, math.ceil(len(entries) / parts))
-    cuts = range(0, max(1, len(entries)), size)
-    for at in cuts:
-        first, last = at == 0, at == cuts[-1]
-        m.apply(EndpointUpdate(scope, tuple(entries[at : at + size]), first, last))
 
+def apply_in_parts(
+    subset: EndpointSubset[int], kind: UpdateKind, endpoints: list[Endpoint], parts: int = 1
+) -> None:
+    size = max(1, math.ceil(len(endpoints) / parts))
+    starts = range(0, max(1, len(endpoints)), size)
+    for start in starts:
+        part = tuple(endpoints[start : start + size])
+        subset.apply(EndpointUpdate(kind, part, is_first=start == 0, is_last=start == starts[-1]))
+
+
+def finish_rebuild(subset: EndpointSubset[int]) -> None:
+    while subset.is_rebuilding:
+        subset.continue_rebuild()
+
+
+def ready_endpoints(backend_ids: range, cells: int = 5) -> list[Endpoint]:
+    return [entry(backend_id, cell=backend_id % cells) for backend_id in backend_ids]
 
-def whole(m: EndpointSubset[int]) -> None:
-    while m.is_rebuilding:
-        m.continue_rebuild()
 
+class Update(NamedTuple):
+    """One step of a random history."""
 
-def some(ids: range, cells: int = 5) -> list[Endpoint]:
-    return [entry(i, cell=i % cells) for i in ids]
+    kind: UpdateKind
+    endpoints: list[Endpoint]
+    parts: int
 
 
-def history(chance: random.Random, most: int) -> Iterator[tuple[UpdateKind, list[Endpoint], int]]:
-    """Changes, restarts, drains, removals, bursts and whole lists, some of them in parts."""
+def random_snapshot(rng: random.Random, listed: dict[int, Endpoint], limit: int) -> Update:
+    """A new list that keeps few, most or all of the old one."""
+    kept = [endpoint for endpoint in listed.values() if rng.random() < rng.choice((0.1, 0.9, 1.0))]
+    new = [entry(rng.randrange(10**6), cell=rng.randrange(9)) for _ in range(limit // 8)]
+    shuffled = [*kept, *new]
+    rng.shuffle(shuffled)
+    endpoints = list({endpoint.backend_id: endpoint for endpoint in shuffled}.values())
+    kind = rng.choice((UpdateKind.SNAPSHOT, UpdateKind.CACHED))
+    return Update(kind, endpoints, parts=rng.randint(1, 9))
+
+
+def random_delta(rng: random.Random, listed: dict[int, Endpoint], limit: int) -> Update:
+    """New backends, restarts, drains and removals: one, two or many."""
+    endpoints = []
+    for _ in range(rng.choice((1, 1, 2, limit // 3))):
+        old = rng.choice(list(listed.values()))
+        state = rng.choice((READY, DRAINING, REMOVED, READY))
+        new = entry(rng.randrange(10**6), cell=rng.randrange(9))
+        changed = Endpoint(old.backend_id, old.zone, old.cell, rng.random() * 1e6, state)
+        endpoints.append(new if len(listed) < limit and rng.random() < 0.5 else changed)
+    return Update(UpdateKind.DELTA, endpoints, parts=1)
+
+
+def random_history(rng: random.Random, limit: int) -> Iterator[Update]:
+    """Sixty snapshots and deltas of a list of about `limit` backends."""
     listed: dict[int, Endpoint] = {}
     for _ in range(60):
-        kind = chance.random()
-        if kind < 0.2 or not listed:
-            kept = [e for e in listed.values() if chance.random() < chance.choice((0.1, 0.9, 1.0))]
-            new = [entry(chance.randrange(10**6), cell=chance.randrange(9)) for _ in range(most // 8)]
-            told = [*kept, *new]
-            chance.shuffle(told)
-            told = list({e.backend_id: e for e in told}.values())
+        if rng.random() < 0.2 or not listed:
+            update = random_snapshot(rng, listed, limit)
             listed = {}
-            scope, parts = chance.choice((UpdateKind.SNAPSHOT, UpdateKind.CACHED)), chance.randint(1, 9)
         else:
-            told, scope, parts = [], UpdateKind.DELTA, 1
-            for _ in range(chance.choice((1, 1, 2, most // 3))):
-                old = chance.choice(list(listed.values()))
-                state = chance.choice((READY, DRAINING, GONE, READY))
-                fresh = entry(chance.randrange(10**6), cell=chance.randrange(9))
-                moved = Endpoint(old.backend_id, old.zone, old.cell, chance.random() * 1e6, state)
-                told.append(fresh if len(listed) < most and chance.random() < 0.5 else moved)
-        for e in told:
-            listed[e.backend_id] = e
-            if e.state is GONE:
-                del listed[e.backend_id]
-        yield scope, told, parts
+            update = random_delta(rng, listed, limit)
+        for endpoint in update.endpoints:
+            listed[endpoint.backend_id] = endpoint
+            if endpoint.state is REMOVED:
+                del listed[endpoint.backend_id]
+        yield update
 
 
+@pytest.mark.parametrize("seed", range(6))
 @pytest.mark.parametrize(
-    ("gateways", "most"), [(1, 60), (7, 60), (40, 60), (200, 200), (30, 700), (200, 3_000), (3_700, 2_500)]
+    ("gateway_count", "limit"),
+    [(1, 60), (7, 60), (40, 60), (200, 200), (30, 700), (200, 3_000), (3_700, 2_500)],
 )
-def test_the_slice_is_the_same_as_worked_out_plainly(gateways: int, most: int) -> None:
-    for seed in range(6):
-        chance = random.Random(seed)
-        index = chance.randrange(gateways)
-        kept, plain = members(index, gateways, by_cell=seed % 2 == 0), Plain(index, gateways)
-        for scope, told, parts in history(chance, most):
-            plain.take(scope, told)
-            tell(kept, scope, told, parts)
-            if most <= 200:
-                assert not kept.is_rebuilding, "what today's days have is taken at once"
-            if chance.random() < 0.7:
-                whole(kept)
-            if not kept.is_rebuilding:
-                assert kept.backends == kept.backend_ids == plain.slice()
-            assert set(kept.backend_ids) <= {i for i, e in plain.listed.items() if e.state is READY}
-            assert kept.records.keys() == plain.listed.keys()
-        whole(kept)
-        assert kept.backends == plain.slice()
-        of_cells = {i for cell in kept.ring.backends_by_cell.values() for i in cell}
-        assert of_cells == (set(kept.ring.sort_keys) if seed % 2 == 0 else set())
-
-
-class Key(bytes):
-    """A place in the order that counts how often it is compared."""
-
-    compared = 0
+def test_subset_is_that_of_the_reference_after_every_update(
+    gateway_count: int, limit: int, seed: int
+) -> None:
+    rng = random.Random(seed)
+    gateway_index = rng.randrange(gateway_count)
+    has_cell_index = seed % 2 == 0
+    subset = create_subset(gateway_index, gateway_count, has_cell_index=has_cell_index)
+    reference = ReferenceSubset(gateway_index, gateway_count)
+
+    for update in random_history(rng, limit):
+        reference.apply(update.kind, update.endpoints)
+        apply_in_parts(subset, update.kind, update.endpoints, update.parts)
+        if limit <= 200:
+            assert not subset.is_rebuilding, "a short list is in force at once"
+        if rng.random() < 0.7:
+            finish_rebuild(subset)
+
+        if not subset.is_rebuilding:
+            assert subset.backends == reference.backend_ids()
+        assert subset.backends == subset.backend_ids
+        assert set(subset.backend_ids) <= set(reference.ready_ids())
+        assert subset.records.keys() == reference.listed.keys()
+
+    finish_rebuild(subset)
+    indexed_ids = {backend_id for cell in subset.ring.backends_by_cell.values() for backend_id in cell}
+    assert subset.backends == reference.backend_ids()
+    assert indexed_ids == (set(subset.ring.sort_keys) if has_cell_index else set())
+
+
+class CountingKey(bytes):
+    """A sort key that counts how often it is compared."""
+
+    comparisons = 0
 
     def __lt__(self, other: bytes) -> bool:
-        Key.compared += 1
+        CountingKey.comparisons += 1
         return bytes.__lt__(self, other)
 
     def __gt__(self, other: bytes) -> bool:
-        Key.compared += 1
+        CountingKey.comparisons += 1
         return bytes.__gt__(self, other)
 
 
+class HashCounter:
+    """Counts the sort keys that rings have made."""
+
+    def __init__(self) -> None:
+        self.count = 0
+
+
 @pytest.fixture
-def work(monkeypatch: pytest.MonkeyPatch) -> Tally[str]:
-    """Counts hashes, comparisons of places and backends that are taken up for use."""
-    seen: Tally[str] = Tally()
-    key = Ring.sort_key
-
-    def counted(ring: Ring, backend: int, record: bytes) -> bytes:
-        seen["hashed"] += 1
-        return Key(key(ring, backend, record))
-
-    monkeypatch.setattr(Ring, "sort_key", counted)
-    return seen
-
-
-def work_of_changes(count: int, seen: Tally[str]) -> tuple[float, float, float]:
-    """Hashes, comparisons and uses of a change in a list of so many, for a gateway of the target's fleet."""
-    used: Tally[str] = Tally()
-
-    def use(e: Endpoint) -> int:
-        used["used"] += 1
-        return e.backend_id
-
-    m, chance = EndpointSubset(1_234, 3_700, use), random.Random(count)
-    tell(m, UpdateKind.SNAPSHOT, some(range(count)), parts=20)
-    whole(m)
-    assert len(m.backend_ids) == len(m.backends) > 0
-    seen.clear()
-    used.clear()
-    Key.compared, changes = 0, 300
-    for number in range(changes):
-        backend = chance.randrange(count)
-        for change in (entry(backend, DRAINING), entry(backend, GONE), entry(count + number)):
-            tell(m, UpdateKind.DELTA, [change])
-    assert not m.is_rebuilding
-    return seen["hashed"] / changes, Key.compared / changes, used["used"] / changes
-
-
-def test_a_change_costs_by_the_logarithm_of_the_list(work: Tally[str]) -> None:
+def hashes(monkeypatch: pytest.MonkeyPatch) -> HashCounter:
+    """Counts the hashes of all rings, and makes their sort keys count comparisons."""
+    counter = HashCounter()
+    sort_key = Ring.sort_key
+
+    def count_hash(ring: Ring, backend_id: int, record: bytes) -> bytes:
+        counter.count += 1
+        return CountingKey(sort_key(ring, backend_id, record))
+
+    monkeypatch.setattr(Ring, "sort_key", count_hash)
+    return counter
+
+
+class ChangeCost(NamedTuple):
+    """What a new backend and the drain and removal of another one cost together, on average."""
+
+    hashes: float
+    comparisons: float
+    created_backends: float
+
+
+def measure_changes(list_length: int, hashes: HashCounter) -> ChangeCost:
+    """The cost of changes in a list of that length, at a gateway of a large fleet."""
+    created: Counter[int] = Counter()
+
+    def create_backend(endpoint: Endpoint) -> int:
+        created[endpoint.backend_id] += 1
+        return endpoint.backend_id
+
+    subset = EndpointSubset(1_234, FLEET_SIZE, create_backend)
+    apply_in_parts(subset, UpdateKind.SNAPSHOT, ready_endpoints(range(list_length)), parts=20)
+    finish_rebuild(subset)
+    assert len(subset.backend_ids) == len(subset.backends) > 0
+    hashes.count = 0
+    created.clear()
+    CountingKey.comparisons = 0
+    rng = random.Random(list_length)
+    change_count = 300
+
+    for number in range(change_count):
+        backend_id = rng.randrange(list_length)
+        for change in (entry(backend_id, DRAINING), entry(backend_id, REMOVED), entry(list_length + number)):
+            apply_in_parts(subset, UpdateKind.DELTA, [change])
+
+    assert not subset.is_rebuilding
+    return ChangeCost(
+        hashes.count / change_count, CountingKey.comparisons / change_count, created.total() / change_count
+    )
+
+
+def test_a_change_costs_by_the_logarithm_of_the_list(hashes: HashCounter) -> None:
     """Danger: a list sorted and hashed at every change holds all requests up for a tenth of a second."""
-    small, large = work_of_changes(2_000, work), work_of_changes(39_000, work)
-    assert small[0] == large[0] == 1.0, "each backend that comes is hashed, once, and no other"
-    assert large[1] < 8 * math.log2(39_000) and large[1] < 2 * small[1]
-    assert large[2] < 4, "the slice changes at its edges only"
-
-
-def test_a_whole_list_is_ordered_in_steps(work: Tally[str]) -> None:
-    m = members(1_234, 3_700)
-    entries = some(range(20_000))
-    for at in range(0, 20_000, 64):
-        before = work["hashed"]
-        tell_part = EndpointUpdate(
-            UpdateKind.SNAPSHOT, tuple(entries[at : at + 64]), at == 0, at + 64 >= len(entries)
-        )
-        m.apply(tell_part)
-        assert work["hashed"] == before, "and none of it before all is known"
-    assert m.is_rebuilding
-    turns = 0
-    while m.is_rebuilding:
-        before = work["hashed"]
-        m.continue_rebuild()
-        turns += 1
-        assert work["hashed"] - before <= REBUILD_STEP
-    assert work["hashed"] == 20_000 and turns == math.ceil(20_000 / REBUILD_STEP)
-    work.clear()
-    tell(m, UpdateKind.SNAPSHOT, entries[:-3], parts=300)
-    assert not m.is_rebuilding and not work["hashed"], "a list that hardly differs costs by the difference"
-    plain = Plain(1_234, 3_700)
-    plain.take(UpdateKind.SNAPSHOT, entries[:-3])
-    assert m.backends == plain.slice()
-
-
-def test_drains_in_a_part_are_in_force_at_once_and_what_is_new_with_the_last() -> None:
-    m = members()
-    tell(m, UpdateKind.SNAPSHOT, some(range(9)))
-    drained = [entry(i, DRAINING) for i in range(4)]
-    m.apply(EndpointUpdate(UpdateKind.SNAPSHOT, (*drained, entry(20)), True, False))
-    assert m.backends == [4, 5, 6, 7, 8]
-    m.apply(EndpointUpdate(UpdateKind.SNAPSHOT, (entry(4), entry(21)), False, True))
-    assert m.backends == [4, 20, 21]
-
-
-@pytest.mark.parametrize("then", [UpdateKind.DELTA, UpdateKind.SNAPSHOT])
-def test_of_a_list_that_breaks_off_nothing_new_is_used(then: UpdateKind) -> None:
-    m = members()
-    tell(m, UpdateKind.SNAPSHOT, some(range(3)))
-    m.apply(EndpointUpdate(UpdateKind.SNAPSHOT, (entry(0), entry(7)), True, False))
-    tell(m, then, some(range(1, 4)))
-    m.apply(EndpointUpdate(UpdateKind.SNAPSHOT, (entry(8),), False, True))  # the rest comes too late
-    assert m.backends == ([0, 1, 2, 3] if then is UpdateKind.DELTA else [1, 2, 3])
-
-
-def test_changes_amid_the_steps_are_in_force() -> None:
-    m, plain = members(5, 3_700), Plain(5, 3_700)
-    entries = some(range(5_000))
-    tell(m, UpdateKind.SNAPSHOT, entries, parts=50)
-    plain.take(UpdateKind.SNAPSHOT, entries)
-    chance = random.Random(4)
-    while m.is_rebuilding:
-        changes = [entry(chance.randrange(6_000), chance.choice((READY, DRAINING, GONE))) for _ in range(20)]
-        tell(m, UpdateKind.DELTA, changes)
-        plain.take(UpdateKind.DELTA, changes)
-        m.continue_rebuild()
-        assert set(m.backends) <= {i for i, e in plain.listed.items() if e.state is READY}
-    assert m.backends == plain.slice()
-
-
-def test_a_list_replaced_as_a_whole_leaves_none_of_the_old_in_use() -> None:
-    m = members(5, 3_700)
-    tell(m, UpdateKind.SNAPSHOT, some(range(5_000)), parts=9)
-    whole(m)
-    assert m.backends
-    tell(m, UpdateKind.SNAPSHOT, some(range(5_000, 10_000)), parts=9)
-    assert not m.backends and m.is_rebuilding
-    assert all(e.backend_id >= 5_000 for e in m.sample_outside(random.Random(1)))
-    whole(m)
-    assert m.backends and min(m.backends) >= 5_000
-
-
-def test_beyond_the_slice_of_a_long_list_a_cell_or_some_by_chance_are_found() -> None:
-    m = members(5, 3_700, by_cell=True)
-    tell(m, UpdateKind.SNAPSHOT, some(range(9_000), cells=300))
-    whole(m)
-    found = {e.backend_id for e in m.sample_outside(random.Random(1), ("a", 7))}
-    assert found == set(range(7, 9_000, 300))
-    drawn = [{e.backend_id for e in m.sample_outside(random.Random(seed))} for seed in range(2)]
-    assert all(len(d) == MAX_SAMPLE_SIZE for d in drawn) and drawn[0] != drawn[1]
-
-
-# ---- in the module ----
+    in_short_list = measure_changes(2_000, hashes)
+    in_long_list = measure_changes(39_000, hashes)
+
+    assert in_short_list.hashes == 1.0, "each new backend is hashed, once, and no other"
+    assert in_long_list.hashes == 1.0
+    assert in_long_list.comparisons < 8 * math.log2(39_000)
+    assert in_long_list.comparisons < 2 * in_short_list.comparisons
+    assert in_long_list.created_backends < 4, "the subset changes at its edges only"
+
+
+def test_a_long_snapshot_is_ordered_in_steps_once_it_is_complete(hashes: HashCounter) -> None:
+    subset = create_subset(1_234, FLEET_SIZE)
+    endpoints = ready_endpoints(range(20_000))
+
+    apply_in_parts(subset, UpdateKind.SNAPSHOT, endpoints, parts=313)
+
+    assert subset.is_rebuilding
+    assert hashes.count == 0, "none is hashed before all are known"
+    steps = 0
+    while subset.is_rebuilding:
+        hashes_before = hashes.count
+        subset.continue_rebuild()
+        steps += 1
+        assert hashes.count - hashes_before <= REBUILD_STEP
+    assert hashes.count == 20_000
+    assert steps == math.ceil(20_000 / REBUILD_STEP)
+
+
+def test_a_snapshot_that_hardly_differs_costs_by_the_difference(hashes: HashCounter) -> None:
+    subset = create_subset(1_234, FLEET_SIZE)
+    reference = ReferenceSubset(1_234, FLEET_SIZE)
+    endpoints = ready_endpoints(range(20_000))
+    apply_in_parts(subset, UpdateKind.SNAPSHOT, endpoints, parts=313)
+    finish_rebuild(subset)
+    hashes.count = 0
+
+    apply_in_parts(subset, UpdateKind.SNAPSHOT, endpoints[:-3], parts=300)
+
+    reference.apply(UpdateKind.SNAPSHOT, endpoints[:-3])
+    assert not subset.is_rebuilding
+    assert hashes.count == 0
+    assert subset.backends == reference.backend_ids()
+
+
+def test_drains_in_a_part_are_in_force_at_once_and_new_backends_with_the_last() -> None:
+    subset = create_subset()
+    apply_in_parts(subset, UpdateKind.SNAPSHOT, ready_endpoints(range(9)))
+    drained = [entry(backend_id, DRAINING) for backend_id in range(4)]
+
+    subset.apply(EndpointUpdate(UpdateKind.SNAPSHOT, (*drained, entry(20)), is_first=True, is_last=False))
+    assert subset.backends == [4, 5, 6, 7, 8]
+
+    subset.apply(EndpointUpdate(UpdateKind.SNAPSHOT, (entry(4), entry(21)), is_first=False, is_last=True))
+    assert subset.backends == [4, 20, 21]
+
+
+@pytest.mark.parametrize(
+    ("next_kind", "expected"), [(UpdateKind.DELTA, [0, 1, 2, 3]), (UpdateKind.SNAPSHOT, [1, 2, 3])]
+)
+def test_a_snapshot_that_breaks_off_adds_no_backend(next_kind: UpdateKind, expected: list[int]) -> None:
+    subset = create_subset()
+    apply_in_parts(subset, UpdateKind.SNAPSHOT, ready_endpoints(range(3)))
+    subset.apply(EndpointUpdate(UpdateKind.SNAPSHOT, (entry(0), entry(7)), is_first=True, is_last=False))
+
+    apply_in_parts(subset, next_kind, ready_endpoints(range(1, 4)))
+    late_part = EndpointUpdate(UpdateKind.SNAPSHOT, (entry(8),), is_first=False, is_last=True)
+    subset.apply(late_part)
+
+    assert subset.backends == expected
+
+
+def test_changes_during_a_rebuild_are_in_force() -> None:
+    subset = create_subset(5, FLEET_SIZE)
+    reference = ReferenceSubset(5, FLEET_SIZE)
+    endpoints = ready_endpoints(range(5_000))
+    apply_in_parts(subset, UpdateKind.SNAPSHOT, endpoints, parts=50)
+    reference.apply(UpdateKind.SNAPSHOT, endpoints)
+    rng = random.Random(4)
+
+    while subset.is_rebuilding:
+        changes = [entry(rng.randrange(6_000), rng.choice((READY, DRAINING, REMOVED))) for _ in range(20)]
+        apply_in_parts(subset, UpdateKind.DELTA, changes)
+        reference.apply(UpdateKind.DELTA, changes)
+        subset.continue_rebuild()
+        assert set(subset.backends) <= set(reference.ready_ids())
+
+    assert subset.backends == reference.backend_ids()
+
+
+def test_no_backend_of_a_replaced_list_stays_in_use() -> None:
+    subset = create_subset(5, FLEET_SIZE)
+    apply_in_parts(subset, UpdateKind.SNAPSHOT, ready_endpoints(range(5_000)), parts=9)
+    finish_rebuild(subset)
+    assert subset.backends
+
+    apply_in_parts(subset, UpdateKind.SNAPSHOT, ready_endpoints(range(5_000, 10_000)), parts=9)
+    assert not subset.backends
+    assert subset.is_rebuilding
+    assert all(endpoint.backend_id >= 5_000 for endpoint in subset.sample_outside(random.Random(1)))
+
+    finish_rebuild(subset)
+    assert subset.backends
+    assert min(subset.backends) >= 5_000
+
+
+@pytest.fixture
+def long_list_by_cell() -> EndpointSubset[int]:
+    """A subset of 9,000 backends in 300 cells, with the cell index."""
+    subset = create_subset(5, FLEET_SIZE, has_cell_index=True)
+    apply_in_parts(subset, UpdateKind.SNAPSHOT, ready_endpoints(range(9_000), cells=300))
+    finish_rebuild(subset)
+    return subset
+
+
+def test_a_sample_outside_the_subset_holds_all_backends_of_a_cell(
+    long_list_by_cell: EndpointSubset[int],
+) -> None:
+    sample = long_list_by_cell.sample_outside(random.Random(1), ("a", 7))
+
+    assert {endpoint.backend_id for endpoint in sample} == set(range(7, 9_000, 300))
+
+
+def test_a_sample_outside_the_subset_of_a_long_list_is_random_and_bounded(
+    long_list_by_cell: EndpointSubset[int],
+) -> None:
+    samples = [
+        {endpoint.backend_id for endpoint in long_list_by_cell.sample_outside(random.Random(seed))}
+        for seed in range(2)
+    ]
+
+    assert [len(sample) for sample in samples] == [MAX_SAMPLE_SIZE, MAX_SAMPLE_SIZE]
+    assert samples[0] != samples[1]
+
+
+# ---- through the policy ----
 
 
 def large(count: int) -> GatewayPolicy:
@@ -289,7 +401,7 @@
         gateway_index=1_234, gateway_count=3_700, safety_rules=RULES, request_classes=(SAFE, KEYED)
     )
     gateway = GatewayPolicy(rules, seed=1)
-    parts = [some(range(at, min(count, at + 64))) for at in range(0, count, 64)]
+    parts = [ready_endpoints(range(at, min(count, at + 64))) for at in range(0, count, 64)]
     for number, part in enumerate(parts):
         scope, first, last = UpdateKind.SNAPSHOT, number == 0, number == len(parts) - 1
         actions = gateway.handle(1_000.0, EndpointUpdate(scope, tuple(part), first, last))
@@ -303,9 +415,9 @@
 
 def test_the_module_goes_on_with_a_long_order_as_its_timer_fires() -> None:
     gateway = large(5_000)
-    plain = Plain(1_234, 3_700)
-    plain.take(UpdateKind.SNAPSHOT, some(range(5_000)))
-    assert [b.id for b in gateway.subset] == plain.slice()
+    reference = ReferenceSubset(1_234, 3_700)
+    reference.apply(UpdateKind.SNAPSHOT, ready_endpoints(range(5_000)))
+    assert [b.id for b in gateway.subset] == reference.backend_ids()
 
 
 def test_what_was_seen_is_kept_of_backends_in_use_only() -> None:
@@ -321,7 +433,7 @@
 def test_a_keyed_repeat_finds_its_cell_beyond_the_slice() -> None:
     """Few of a cell are in a slice of a long list, or none."""
     world = World([entry(1)], gateway_index=3, gateway_count=3_700, request_classes=(SAFE, KEYED))
-    world.give(EndpointUpdate(UpdateKind.SNAPSHOT, tuple(some(range(2_000), cells=100))))
+    world.give(EndpointUpdate(UpdateKind.SNAPSHOT, tuple(ready_endpoints(range(2_000), cells=100))))
     world.pass_time(10)
     (first,) = sends(world.ask("order"))
     (again,) = sends(world.end(first, Outcome.CONNECTION_RESET, finished=False))
