Test each encoded action and name the adapter's tests in the field's words

Cause: the encoding of actions was tested for one action only, and bad input by unnamed cases. Change: a table of all actions, a check that each action has an encoder, ids for each bad input.

--- a/tests/simulator/test_adapter.py
+++ b/tests/simulator/test_adapter.py
@@ -1,3 +1,5 @@
+"""The simulator's adapter, from the lines that come in to the lines that go out."""
+
 from __future__ import annotations
 
 import io
@@ -5,12 +7,28 @@
 import subprocess
 import sys
 from pathlib import Path
+from typing import Any, NamedTuple, get_args
 
 import pytest
 
-from gateway.simulator.__main__ import main
-
-SETUP = {
+from gateway.policy.actions import (
+    Action,
+    CancelAttempt,
+    Fail,
+    IncrementCounter,
+    Reject,
+    SetTimer,
+    StartAttempt,
+    WatchEndpoints,
+)
+from gateway.policy.timers import TimerKind, TimerToken
+from gateway.simulator.__main__ import BAD_INPUT_STATUS, main
+from gateway.simulator.encoding import ACTION_ENCODERS, encode_actions
+
+INSTANCE_ID = 3
+BACKEND_ID = 77
+REQUEST_ID = "d88e86a15d3a91c4"
+SETTINGS = {
     "az": "a",
     "groupSize": 2,
     "selfIndex": 0,
@@ -21,92 +39,141 @@
     "familyInfo": {"mayCount": True, "countWait": 50.0},
     "rules": {"warmWithin": 10000.0, "startCapacity": 0.2, "drainGrace": 1000.0},
 }
-CREATE = [["create", 5, SETUP], ["backendsChanged", "SAVED", 1, [["a", 0, None, "ready", 1, 77, "std"]]]]
-JOB = ["jobIn", "d88e86a15d3a91c4", "view", "basic", "key:1", 3000.0, 1, 2, 0, 0]
+CREATE = [
+    ["create", 5, SETTINGS],
+    ["backendsChanged", "SAVED", 1, [["a", 0, None, "ready", 1, BACKEND_ID, "std"]]],
+]
+REQUEST = ["jobIn", REQUEST_ID, "view", "basic", "key:1", 3000.0, 1, 2, 0, 0]
 
 
-def batch(*arrivals: list[object], moment: float = 10.0, gateway: int = 3) -> str:
-    return (
-        json.dumps({"moment": moment, "groups": [{"gatewayId": gateway, "arrivals": list(arrivals)}]}) + "\n"
-    )
+class Result(NamedTuple):
+    """What the adapter did with its input."""
+
+    status: int
+    replies: list[dict[str, Any]]
+
+
+def encode_batch(*events: list[object], moment: float = 10.0) -> str:
+    group = {"gatewayId": INSTANCE_ID, "arrivals": list(events)}
+    return json.dumps({"moment": moment, "groups": [group]}) + "\n"
+
+
+def run_adapter(*lines: str) -> Result:
+    replies = io.StringIO()
+    status = main(io.StringIO("".join(lines)), replies)
+    return Result(status, [json.loads(line) for line in replies.getvalue().splitlines()])
+
+
+def test_a_batch_without_groups_gets_a_reply_without_groups() -> None:
+    result = run_adapter('{"moment":1,"groups":[]}\n')
 
+    assert result == (0, [{"groups": []}])
 
-def play(*lines: str) -> tuple[int, list[dict[str, object]]]:
-    out = io.StringIO()
-    code = main(io.StringIO("".join(lines)), out)
-    return code, [json.loads(line) for line in out.getvalue().splitlines()]
 
+def test_the_end_of_input_ends_the_adapter_with_success() -> None:
+    result = run_adapter()
 
-def test_empty_batches_and_end_of_input() -> None:
-    assert play('{"moment":1,"groups":[]}\n') == (0, [{"groups": []}])
-    assert play() == (0, [])
+    assert result == (0, [])
 
 
-def test_a_request_is_sent_and_its_outcome_taken() -> None:
-    code, replies = play(
-        batch(*CREATE),
-        batch(JOB, moment=20),
-        batch(["ended", JOB[1], 0, 18.5, "Ok", True, 0, 77, None, None], moment=40),
+def test_a_request_starts_an_attempt_and_its_end_is_accepted() -> None:
+    attempt_ended = ["ended", REQUEST_ID, 0, 18.5, "Ok", True, 0, BACKEND_ID, None, None]
+
+    result = run_adapter(
+        encode_batch(*CREATE), encode_batch(REQUEST, moment=20), encode_batch(attempt_ended, moment=40)
     )
-    assert code == 0 and len(replies) == 3
-    (group,) = replies[1]["groups"]  # type: ignore[misc]
-    assert group["gatewayId"] == 3 and ["callOut", JOB[1], 0.0, 77] in group["out"]
+
+    assert result.status == 0
+    assert len(result.replies) == 3
+    (group,) = result.replies[1]["groups"]
+    assert group["gatewayId"] == INSTANCE_ID
+    assert ["callOut", REQUEST_ID, 0.0, BACKEND_ID] in group["out"]
 
 
-def test_every_event_of_the_wire_is_taken() -> None:
-    code, _ = play(
-        batch(
+def test_every_event_of_the_protocol_is_accepted() -> None:
+    result = run_adapter(
+        encode_batch(
             *CREATE,
             ["wakeup", "x"],
             ["whisper", 1, "00ff"],
             ["lapsed", "0"],
             ["ledgerReply", 1, 2, "Ok", "n"],
-            ["underWay", "0", 0, 77, 1.0],
-            ["health", 77, "Ok", 1.0, None],
+            ["underWay", "0", 0, BACKEND_ID, 1.0],
+            ["health", BACKEND_ID, "Ok", 1.0, None],
             ["backendsChanged", "FAILED", 1, None],
             ["exit"],
             *CREATE,
         )
     )
-    assert code == 0
+
+    assert result.status == 0
+
+
+ENCODED_ACTIONS = [
+    (StartAttempt("r", 7, 25.0), ["callOut", "r", 25.0, 7]),
+    (CancelAttempt("r", 1), ["cancel", "r", 1]),
+    (Reject("r", 40.0), ["bounce", "r", 40.0]),
+    (Fail("r"), ["dropRequest", "r"]),
+    (SetTimer(5.0, TimerToken(TimerKind.REQUEST, "r")), ["sleep", 5.0, "rr"]),
+    (IncrementCounter("n", 2.0, 60.0), ["incr", "n", 60.0, 2.0]),
+    (WatchEndpoints(), ["follow", True]),
+]
+
+
+@pytest.mark.parametrize(("action", "encoded"), ENCODED_ACTIONS)
+def test_an_action_is_encoded_as_its_name_and_its_values(action: Action, encoded: list[Any]) -> None:
+    assert encode_actions([action]) == [encoded]
+
+
+def test_every_action_of_the_policy_has_an_encoder() -> None:
+    assert set(ACTION_ENCODERS) == set(get_args(Action))
 
 
 @pytest.mark.parametrize(
     "line",
     [
-        "not json\n",
-        "[]\n",
-        "{}\n",
-        '{"moment":"x","groups":[]}\n',
-        '{"moment":1,"groups":[{"gatewayId":1}]}\n',
-        batch(["wakeup", "x"]),
-        batch(*CREATE, ["surprise"]),
-        batch(*CREATE, ["jobIn", 1]),
-        batch(*CREATE, []),
-        batch(["create"]),
-        batch(["create", 1, []]),
-        batch(*CREATE, ["whisper", 1, "zz"]),
-        batch(*CREATE, ["ended", "0", 0, 1, "Nonsense", True, 0, 77]),
-        "3\n",
-        batch(*CREATE, ["wakeup", 5]),
+        pytest.param("not json\n", id="no JSON"),
+        pytest.param("[]\n", id="an array"),
+        pytest.param("{}\n", id="without a moment"),
+        pytest.param('{"moment":"x","groups":[]}\n', id="a moment that is no number"),
+        pytest.param('{"moment":1,"groups":[{"gatewayId":1}]}\n', id="a group without events"),
+        pytest.param(encode_batch(["wakeup", "x"]), id="an instance that was not created"),
+        pytest.param(encode_batch(*CREATE, ["exit"], ["wakeup", "x"]), id="an instance that has exited"),
+        pytest.param(encode_batch(*CREATE, ["surprise"]), id="an unknown event"),
+        pytest.param(encode_batch(*CREATE, ["jobIn", 1]), id="an event without its values"),
+        pytest.param(encode_batch(*CREATE, []), id="an event without a name"),
+        pytest.param(encode_batch(["create"]), id="an instance without a seed"),
+        pytest.param(encode_batch(["create", 1, []]), id="settings that are no object"),
+        pytest.param(encode_batch(*CREATE, ["whisper", 1, "zz"]), id="a payload that is not hexadecimal"),
+        pytest.param(
+            encode_batch(*CREATE, ["ended", "0", 0, 1, "Nonsense", True, 0, BACKEND_ID]),
+            id="an unknown outcome",
+        ),
+        pytest.param("3\n", id="a number"),
+        pytest.param(encode_batch(*CREATE, ["wakeup", 5]), id="a token that is no text"),
     ],
 )
 def test_bad_input_is_named_in_one_line_and_ends_the_adapter(
     line: str, capsys: pytest.CaptureFixture[str]
 ) -> None:
-    code, replies = play(line)
-    said = capsys.readouterr()
-    assert code != 0 and replies == []
-    assert said.err.count("\n") == 1 and said.err.startswith("gateway.simulator: bad input: ")
+    result = run_adapter(line)
+
+    error_output = capsys.readouterr().err
+    assert result == (BAD_INPUT_STATUS, [])
+    assert error_output.count("\n") == 1
+    assert error_output.startswith("gateway.simulator: bad input: ")
 
 
 def test_the_adapter_runs_as_a_command() -> None:
-    run = subprocess.run(
+    process = subprocess.run(
         [sys.executable, "-m", "gateway.simulator"],
-        input=batch(*CREATE) + "oops\n",
+        input=encode_batch(*CREATE) + "oops\n",
         capture_output=True,
         text=True,
         cwd=Path(__file__).parents[2],
+        check=False,
     )
-    assert run.returncode == 2 and "Traceback" not in run.stderr
-    assert len(run.stdout.splitlines()) == 1
+
+    assert process.returncode == 2
+    assert "Traceback" not in process.stderr
+    assert len(process.stdout.splitlines()) == 1
