--- a/tests/policy/test_subsetting.py
+++ b/tests/policy/test_subsetting.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import math
 import random
 from collections import Counter
@@ -11,71 +10,18 @@
 
 import pytest
 
-from gateway.policy.actions import SetTimer
-from gateway.policy.events import (
-    AttemptEnded,
-    Endpoint,
-    EndpointState,
-    EndpointUpdate,
-    Outcome,
-    RequestArrived,
-    TimerFired,
-    UpdateKind,
-)
-from gateway.policy.policy import DRAWN, KEPT, Backend, GatewayPolicy, Request
+from gateway.policy.events import Endpoint, EndpointUpdate, UpdateKind
 from gateway.policy.ring import Ring
-from gateway.policy.subsetting import (
-    MAX_CHANGES_AT_ONCE,
-    MAX_SAMPLE_SIZE,
-    MIN_GATEWAYS_PER_BACKEND,
-    REBUILD_STEP,
-    SUBSET_SIZE,
-    EndpointSubset,
+from gateway.policy.subsetting import MAX_SAMPLE_SIZE, REBUILD_STEP, EndpointSubset
+from tests.support.policy_harness import entry
+from tests.support.reference_subset import (
+    DRAINING,
+    FLEET_SIZE,
+    READY,
+    REMOVED,
+    ReferenceSubset,
+    ready_endpoints,
 )
-from gateway.policy.timers import TimerKind, TimerToken
-from tests.support.policy_harness import KEYED, RULES, SAFE, World, entry, sends, settings
-
-READY = EndpointState.READY
-DRAINING = EndpointState.DRAINING
-REMOVED = EndpointState.REMOVED
-FLEET_SIZE = 3_700
-"""Gateways of the fleet that the long lists are for."""
-
-
-class ReferenceSubset:
-    """The plain way: everything is sorted and hashed at every change."""
-
-    def __init__(self, gateway_index: int, gateway_count: int) -> None:
-        self.gateway_index = gateway_index
-        self.gateway_count = gateway_count
-        self.listed: dict[int, Endpoint] = {}
-
-    def apply(self, kind: UpdateKind, endpoints: list[Endpoint]) -> None:
-        if kind is not UpdateKind.DELTA:
-            named = {endpoint.backend_id for endpoint in endpoints}
-            self.listed = {
-                backend_id: endpoint for backend_id, endpoint in self.listed.items() if backend_id in named
-            }
-        for endpoint in endpoints:
-            if endpoint.state is REMOVED:
-                self.listed.pop(endpoint.backend_id, None)
-            else:
-                self.listed[endpoint.backend_id] = endpoint
-
-    def ready_ids(self) -> list[int]:
-        return [endpoint.backend_id for endpoint in self.listed.values() if endpoint.state is READY]
-
-    def backend_ids(self) -> list[int]:
-        ready_ids = self.ready_ids()
-        count = len(ready_ids)
-        size = max(SUBSET_SIZE, MIN_GATEWAYS_PER_BACKEND * count / max(1, self.gateway_count))
-        window_count = 2 ** max(0, math.floor(math.log2(max(1.0, count / size))))
-        round_number, number = divmod(self.gateway_index, window_count)
-        if window_count > 1:
-            ready_ids.sort(
-                key=lambda b: hashlib.blake2b(f"{round_number}:{b}".encode(), digest_size=8).digest()
-            )
-        return ready_ids[count * number // window_count : count * (number + 1) // window_count]
 
 
 def create_subset(
@@ -99,10 +45,6 @@
         subset.continue_rebuild()
 
 
-def ready_endpoints(backend_ids: range, cells: int = 5) -> list[Endpoint]:
-    return [entry(backend_id, cell=backend_id % cells) for backend_id in backend_ids]
-
-
 class Update(NamedTuple):
     """One step of a random history."""
 
@@ -390,78 +332,3 @@
 
     assert [len(sample) for sample in samples] == [MAX_SAMPLE_SIZE, MAX_SAMPLE_SIZE]
     assert samples[0] != samples[1]
-
-
-# ---- through the policy ----
-
-
-def large(count: int) -> GatewayPolicy:
-    """A gateway of the target's fleet with so many backends."""
-    rules = settings(
-        gateway_index=1_234, gateway_count=3_700, safety_rules=RULES, request_classes=(SAFE, KEYED)
-    )
-    gateway = GatewayPolicy(rules, seed=1)
-    parts = [ready_endpoints(range(at, min(count, at + 64))) for at in range(0, count, 64)]
-    for number, part in enumerate(parts):
-        scope, first, last = UpdateKind.SNAPSHOT, number == 0, number == len(parts) - 1
-        actions = gateway.handle(1_000.0, EndpointUpdate(scope, tuple(part), first, last))
-        assert actions == (
-            [SetTimer(0.0, TimerToken(TimerKind.BUILD_ORDER))] if last and count > MAX_CHANGES_AT_ONCE else []
-        )
-    while actions:
-        actions = gateway.handle(1_000.0, TimerFired(TimerToken(TimerKind.BUILD_ORDER)))
-    return gateway
-
-
-def test_the_module_goes_on_with_a_long_order_as_its_timer_fires() -> None:
-    gateway = large(5_000)
-    reference = ReferenceSubset(1_234, 3_700)
-    reference.apply(UpdateKind.SNAPSHOT, ready_endpoints(range(5_000)))
-    assert [b.id for b in gateway.subset] == reference.backend_ids()
-
-
-def test_what_was_seen_is_kept_of_backends_in_use_only() -> None:
-    gateway, chance = large(9_000), random.Random(3)
-    assert len(gateway.backends) == len(gateway.subset) < 100
-    for number in range(9_000):
-        change = entry(chance.randrange(9_000), chance.choice((READY, DRAINING)))
-        gateway.handle(2_000.0 + number, EndpointUpdate(UpdateKind.DELTA, (change,)))
-        assert len(gateway.backends) <= len(gateway.subset) + KEPT + 1
-    assert all(gateway.backends[b.id] is b for b in gateway.subset)
-
-
-def test_a_keyed_repeat_finds_its_cell_beyond_the_slice() -> None:
-    """Few of a cell are in a slice of a long list, or none."""
-    world = World([entry(1)], gateway_index=3, gateway_count=3_700, request_classes=(SAFE, KEYED))
-    world.give(EndpointUpdate(UpdateKind.SNAPSHOT, tuple(ready_endpoints(range(2_000), cells=100))))
-    world.pass_time(10)
-    (first,) = sends(world.ask("order"))
-    (again,) = sends(world.end(first, Outcome.CONNECTION_RESET, finished=False))
-    assert again.backend_id % 100 == first.backend_id % 100 and again.backend_id != first.backend_id
-
-
-@pytest.mark.parametrize(("count", "scored"), [(200, 12), (15_000, 59), (39_000, DRAWN)])
-def test_a_choice_scores_a_bounded_number_of_backends(
-    count: int, scored: int, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    """Danger: the slice grows with the list, and each request would weigh all of it."""
-    gateway, costs = large(count), []
-    cost = GatewayPolicy.cost
-
-    def counted(self: GatewayPolicy, now: float, b: Backend, request: Request) -> float:
-        costs.append(b.id)
-        return cost(self, now, b, request)
-
-    monkeypatch.setattr(GatewayPolicy, "cost", counted)
-    used, weighed = set(), set()
-    for number in range(300):
-        costs.clear()
-        asked = RequestArrived(f"r{number}", "view", "free", "c", 9_000.0, 1.0, 2, 0)
-        (sent,) = sends(gateway.handle(2_000.0 + number, asked))
-        assert len(costs) == scored
-        weighed.update(costs)
-        used.add(sent.backend_id)
-        ended = AttemptEnded(sent.request_id, 0, sent.backend_id, Outcome.OK, 5.0, True)
-        gateway.handle(2_001.0 + number, ended)
-    assert weighed == {b.id for b in gateway.subset}, "each of the slice has its chances"
-    assert len(used) > min(60, 0.8 * len(gateway.subset))
