Parse error lines of backends without a further call

Cause: the split of the parser made an error line, which a full backend sends for each request, 1.05 times as slow to parse.

Change: the call stands on the way of values, where there is time to spare.

--- a/gateway/network/resp_replies.py
+++ b/gateway/network/resp_replies.py
@@ -55,8 +55,17 @@
     Raises:
         ProtocolError: `data` cannot become a reply, or one of its lengths is out of range.
     """
-    if data.startswith(b"-"):
-        return _parse_error_line(data)
+    if not data.startswith(b"-"):
+        return _parse_value(data)
+    end = data.find(b"\r\n", 0, MAX_ERROR_BYTES)
+    if end >= 0:
+        return Reply(None, bytes(data[1:end]), end + 2 == len(data))
+    if len(data) >= MAX_ERROR_BYTES:
+        raise ProtocolError("error line without an end")
+    return None
+
+
+def _parse_value(data: bytearray) -> Reply | None:
     header = VALUE_HEADER.match(data)
     if header is None:
         if not PARTIAL_VALUE_HEADER.fullmatch(data[:LONGEST_HEADER_BYTES]):
@@ -83,15 +92,6 @@
     return Reply(bytes(memoryview(data)[start:end]), b"", position == len(data))
 
 
-def _parse_error_line(data: bytearray) -> Reply | None:
-    end = data.find(b"\r\n", 0, MAX_ERROR_BYTES)
-    if end >= 0:
-        return Reply(None, bytes(data[1:end]), end + 2 == len(data))
-    if len(data) >= MAX_ERROR_BYTES:
-        raise ProtocolError("error line without an end")
-    return None
-
-
 def _find_field_end(data: bytearray, position: int) -> int | None:
     """Return where the field at `position` ends: None while it is incomplete, else perhaps `UNREADABLE`."""
     if header := FIELD_HEADER.match(data, position):
