Split the policy by concern into parts that own their state

One class of 500 lines held leases, counter calls, admission, choice, health and retries, and any of it could write any field. Files that only hold records or tables (backends, backend table, lease table, counter calls) decide nothing and stand beside settings, events and actions outside the policy list.

--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -205,7 +205,7 @@
 
     def ask(self, some: Iterable[int]) -> None:
         """One request of each, a second after the last; a call is due by then, and is answered at once."""
-        self.now, self.gateway.tidied_at = self.now + 1_000.0, self.now
+        self.now, self.gateway.leases.swept_at = self.now + 1_000.0, self.now
         for c in some:
             arrived = RequestArrived(
                 REQUEST, VIEW.name, "plan", f"{c:016x}", self.now + 2_500, 1.0, self.spread, 0
@@ -222,7 +222,7 @@
 
     def forget(self) -> None:
         """What an arrival does that finds the idle ones due to be forgotten; none is idle."""
-        self.gateway.tidied_at = 0.0
+        self.gateway.leases.swept_at = 0.0
         unknown = RequestArrived(REQUEST, VIEW.name, "free", "", self.now + 1.0, 1.0, 1, 0)
         self.gateway.handle(self.now, unknown)
         self.gateway.handle(self.now, ClientDisconnected(REQUEST))
@@ -300,9 +300,10 @@
     def choose(self, number: int) -> None:
         """As for a request that has not been sent anywhere."""
         request = next(iter(self.gateway.requests.values()))
-        request.tried, request.ran = set(), []
+        request.tried_backend_ids = set()
+        request.possibly_run = []
         for _ in range(number):
-            self.gateway.pick(self.now, request)
+            self.gateway.balancer.pick(self.now, request)
 
 
 def raw_entry(number: int, health: str = "up") -> dict[str, object]:
--- a/gateway/policy/shared_bucket.py
+++ b/gateway/policy/shared_bucket.py
@@ -1,45 +1,45 @@
-"""A customer's token bucket that many gateways share, kept as one number on the counter service.
+"""A customer's token bucket that many gateways share, kept as one total on the counter service.
 
-The number of a period holds the units spent in it, and what the period before left owed. Time pays it back:
-what the bucket holds follows from the number and the time alone, so one call both spends and tells. Pure
-arithmetic; when to call and what to do with the answer is decided in gateway/policy/policy.py.
+The total of a period holds the units spent in it, and what the period before left owed. Time pays it back:
+what the bucket holds follows from the total and the time alone, so one call both spends and reads. Pure
+arithmetic; when to call and what to do with the response is decided in gateway/policy/usage_reporting.py.
 """
 
-from __future__ import annotations
-
 import hashlib
 from dataclasses import dataclass
 
-PERIOD_MS = 15_000.0  # at most half of the minute that the counter remembers a name: the last one is read too
-MEMORY_MS = 4 * PERIOD_MS  # a number's life, from its first call
+PERIOD_MS = 15_000.0  # at most half of the minute that the counter keeps a name: the last one is read too
+MEMORY_MS = 4 * PERIOD_MS  # a total's life, from its first call
 
 
 @dataclass(frozen=True, slots=True)
 class SharedTokenBucket:
+    """The token bucket of one customer; `now` is milliseconds on the policy's clock."""
+
     key: str  # of the customer on the counter
     offset: float  # of its periods: those of all customers together would end, and be carried over, at once
     rate: float  # units a second
     burst: float
 
     @classmethod
-    def of(cls, customer: str, rate: float, burst: float) -> SharedTokenBucket:
+    def of(cls, customer: str, rate: float, burst: float) -> "SharedTokenBucket":
+        """The bucket of a customer, the same at all gateways."""
         digest = hashlib.blake2b(customer.encode(), digest_size=16)  # customers' names may be long
         offset = int.from_bytes(digest.digest()[:4], "big") % int(PERIOD_MS)
         return cls(digest.hexdigest(), float(offset), rate, burst)
 
     def name(self, period: int) -> str:
+        """The counter's name of a period's total."""
         return f"{period}:{self.key}"
 
     def period(self, now: float) -> int:
+        """The number of the present period."""
         return int((now + self.offset) // PERIOD_MS)
 
-    def paid(self, now: float, period: int) -> float:
-        """Units that time has paid back since a period began."""
-        return self.rate * max(0.0, now + self.offset - period * PERIOD_MS) / 1000
-
     def level(self, now: float, period: int, spent: float) -> float:
         """Units held; over the burst where the customer was idle, which fills a real bucket no further."""
-        return self.burst + self.paid(now, period) - spent
+        paid = self.rate * max(0.0, now + self.offset - period * PERIOD_MS) / 1000
+        return self.burst + paid - spent
 
     def owed(self, spent: float) -> float:
         """What a whole period left to be paid back in the next one."""
--- a/tests/policy/test_leases.py
+++ b/tests/policy/test_leases.py
@@ -2,7 +2,7 @@
 
 from gateway.policy.actions import IncrementCounter, StartAttempt
 from gateway.policy.events import CounterResponse, Outcome
-from gateway.policy.policy import LEASE_MS, REFRESH_MS
+from gateway.policy.leases import LEASE_MS, REFRESH_INTERVAL_MS
 from tests.support.policy_harness import World, counts, refusals, sends
 
 
@@ -46,9 +46,9 @@
             answer(world, call, 100.0)
             adds.append((world.now, call))
         world.pass_time(50)
-    waiting = world.gateway.customers["c"].unsaid
+    waiting = world.gateway.leases.by_customer["c"].unreported_usage
     assert sum(call.amount for _, call in adds) + waiting == 100
-    assert all(b - a >= REFRESH_MS for (a, _), (b, _) in zip(adds, adds[1:], strict=False))
+    assert all(b - a >= REFRESH_INTERVAL_MS for (a, _), (b, _) in zip(adds, adds[1:], strict=False))
     assert all(call.expires_in_ms <= 60_000 for _, call in adds)
 
 
@@ -60,7 +60,7 @@
             answer(world, call, total)
         world.pass_time(100)
         total = total if world.now % 4000 > 100 else 50.0
-    assert 0.2 < world.gateway.customers["c"].part < 0.3
+    assert 0.2 < world.gateway.leases.by_customer["c"].share < 0.3
 
 
 def test_alone_with_all_the_wants_the_lease_is_the_whole_quota() -> None:
@@ -72,23 +72,23 @@
                 period = call.name.split(":")[0]
             answer(world, call, total)
         world.pass_time(100)
-    assert world.gateway.customers["c"].part > 0.95
+    assert world.gateway.leases.by_customer["c"].share > 0.95
 
 
 def test_a_lease_unheard_reverts_to_the_even_share() -> None:
     world = World()
     (call,) = counts(world.ask())
     answer(world, call, 3.0)
-    customer = world.gateway.customers["c"]
-    customer.part = 0.9
+    customer = world.gateway.leases.by_customer["c"]
+    customer.share = 0.9
     for _ in range(int(LEASE_MS // 1000)):
         for call in counts(world.ask()):
             answer(world, call, 0, Outcome.TIMED_OUT)
-        assert customer.part == 0.9, "failed refreshes keep the lease until it ends"
+        assert customer.share == 0.9, "failed refreshes keep the lease until it ends"
         world.pass_time(1000)
     world.pass_time(500)
     world.ask()
-    assert customer.part == 0.5
+    assert customer.share == 0.5
 
 
 def test_an_empty_counter_keeps_the_lease_until_a_period_is_whole() -> None:
@@ -96,20 +96,20 @@
     world = World()
     (call,) = counts(world.ask())
     answer(world, call, 30.0)
-    customer = world.gateway.customers["c"]
-    customer.part, customer.tokens = 0.25, 0.0
+    customer = world.gateway.leases.by_customer["c"]
+    customer.share, customer.tokens = 0.25, 0.0
     world.pass_time(600)
     (call,) = counts(world.ask())
     answer(world, call, call.amount + 1)
-    assert customer.part == 0.25 and customer.tokens <= 0.5
+    assert customer.share == 0.25 and customer.tokens <= 0.5
 
 
 def test_a_reading_at_the_very_start_of_a_period_is_survived() -> None:
     """Danger: a period whose start is rounded to just after now, and just the burst asked."""
     world = World()
     world.ask()
-    customer = world.gateway.customers["c"]
-    world.gateway.renew(12_000 - 1e-9, customer, 3, 1.0, 8.0, [])
+    customer = world.gateway.leases.by_customer["c"]
+    customer.resize(12_000 - 1e-9, 3, 1.0, 8.0)
     assert customer.tokens >= 0
 
 
@@ -129,7 +129,7 @@
         world = World()
         (call,) = counts(world.ask())
         answer(world, call, 0, outcome)
-        world.gateway.counter_room = 1.0
+        world.gateway.usage.capacity = 1.0
         world.pass_time(600)
         (call,) = counts(world.ask())
         assert call.amount == again
@@ -140,7 +140,7 @@
     world = World()
     added, asked = 0.0, 4000
     for _ in range(asked):
-        world.gateway.counter_room = 0.4
+        world.gateway.usage.capacity = 0.4
         for call in counts(world.ask()):
             added += call.amount
             answer(world, call, 500.0)
@@ -200,13 +200,13 @@
             world.end(send)
     world.pass_time(3 * LEASE_MS)
     world.ask()
-    assert len(world.gateway.customers) == 1
+    assert len(world.gateway.leases.by_customer) == 1
 
 
 def test_a_reply_for_a_forgotten_customer_is_ignored() -> None:
     world = World()
     call = counts(world.ask() + world.ask() + world.ask() + world.ask() + world.ask())[0]
-    world.gateway.customers.clear()
+    world.gateway.leases.by_customer.clear()
     answer(world, call, 5.0)
     answer(world, call, 5.0)
 
@@ -236,7 +236,7 @@
     slow = World(counter_available=False)
     for _ in range(60):
         slow.ask(plan="basic", customer=f"x{slow.serial}")
-    slow.gateway.rate = 20.0  # sixty out at twenty answers a second: far from spare
+    slow.gateway.stats.response_rate = 20.0  # sixty out at twenty answers a second: far from spare
     assert drain(slow, 30, plan="bonus") <= 2
 
 
@@ -261,7 +261,7 @@
 
 
 def crowded(world: World) -> World:
-    world.gateway.counter_room = 0.1
+    world.gateway.usage.capacity = 0.1
     return world
 
 
@@ -284,7 +284,7 @@
     world, sent, asked = World(), 0, 0
     for _ in range(20):
         world.ask(plan="none", customer="other")  # out: capacity is not spare, nor short
-    world.gateway.rate, world.gateway.answered_at = 100.0, world.now
+    world.gateway.stats.response_rate, world.gateway.stats.responded_at = 100.0, world.now
     for _ in range(20):
         actions = crowded(world).ask(plan="bonus", spread=100)
         asked += len(counts(actions))
--- a/tests/policy/test_policy.py
+++ b/tests/policy/test_policy.py
@@ -206,7 +206,7 @@
         send, attempt = batch[0], attempt + 1
     assert refusals(ended) == [Reject(send.request_id, wait)] and w.now == 10_000
     spent = world(max_retry_after_ms=most)
-    spent.gateway.retries = 0.0
+    spent.gateway.retries.budget = 0.0
     assert refusals(spent.end(one(spent.ask()), Outcome.CONNECTION_RESET)) == [Reject("r1", wait)]
 
 
--- a/tests/policy/test_subsetting.py
+++ b/tests/policy/test_subsetting.py
@@ -11,6 +11,8 @@
 import pytest
 
 from gateway.policy.actions import SetTimer
+from gateway.policy.backend_table import MAX_KNOWN_OUTSIDE
+from gateway.policy.backends import Backend
 from gateway.policy.events import (
     AttemptEnded,
     Endpoint,
@@ -21,7 +23,9 @@
     TimerFired,
     UpdateKind,
 )
-from gateway.policy.policy import DRAWN, KEPT, Backend, GatewayPolicy, Request
+from gateway.policy.load_balancing import SAMPLE_SIZE, LoadBalancer
+from gateway.policy.policy import GatewayPolicy
+from gateway.policy.requests import PendingRequest
 from gateway.policy.subsetting import AT_ONCE, COVER, STEP, SUBSET, EndpointSubset, Order
 from gateway.policy.timers import TimerKind, TimerToken
 from tests.support.policy_harness import KEYED, RULES, SAFE, World, entry, sends, settings
@@ -302,12 +306,12 @@
 
 def test_what_was_seen_is_kept_of_backends_in_use_only() -> None:
     gateway, chance = large(9_000), random.Random(3)
-    assert len(gateway.backends) == len(gateway.subset) < 100
+    assert len(gateway.backends.known) == len(gateway.subset) < 100
     for number in range(9_000):
         change = entry(chance.randrange(9_000), chance.choice((READY, DRAINING)))
         gateway.handle(2_000.0 + number, EndpointUpdate(UpdateKind.DELTA, (change,)))
-        assert len(gateway.backends) <= len(gateway.subset) + KEPT + 1
-    assert all(gateway.backends[b.id] is b for b in gateway.subset)
+        assert len(gateway.backends.known) <= len(gateway.subset) + MAX_KNOWN_OUTSIDE + 1
+    assert all(gateway.backends.known[b.id] is b for b in gateway.subset)
 
 
 def test_a_keyed_repeat_finds_its_cell_beyond_the_slice() -> None:
@@ -320,19 +324,19 @@
     assert again.backend_id % 100 == first.backend_id % 100 and again.backend_id != first.backend_id
 
 
-@pytest.mark.parametrize(("count", "scored"), [(200, 12), (15_000, 59), (39_000, DRAWN)])
+@pytest.mark.parametrize(("count", "scored"), [(200, 12), (15_000, 59), (39_000, SAMPLE_SIZE)])
 def test_a_choice_scores_a_bounded_number_of_backends(
     count: int, scored: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Danger: the slice grows with the list, and each request would weigh all of it."""
     gateway, costs = large(count), []
-    cost = GatewayPolicy.cost
+    cost = LoadBalancer.cost
 
-    def counted(self: GatewayPolicy, now: float, b: Backend, request: Request) -> float:
+    def counted(self: LoadBalancer, now: float, b: Backend, request: PendingRequest) -> float:
         costs.append(b.id)
         return cost(self, now, b, request)
 
-    monkeypatch.setattr(GatewayPolicy, "cost", counted)
+    monkeypatch.setattr(LoadBalancer, "cost", counted)
     used, weighed = set(), set()
     for number in range(300):
         costs.clear()
--- a/tests/scale/test_slopes.py
+++ b/tests/scale/test_slopes.py
@@ -33,8 +33,8 @@
     known = slopes.Customers(50, 2, 12, True)
     known.ask(range(50))
     known.forget()
-    assert len(known.gateway.customers) == 51  # with the one that asks last
-    assert not known.gateway.requests and not known.gateway.calls
+    assert len(known.gateway.leases.by_customer) == 51  # with the one that asks last
+    assert not known.gateway.requests and not known.gateway.usage.calls
 
 
 def test_a_choice_is_made_among_the_whole_slice() -> None:
@@ -42,7 +42,7 @@
     busy.serve(400)
     busy.choose(3)
     assert len(busy.gateway.subset) == 12
-    assert len(busy.gateway.attempts) == 20
+    assert len(busy.gateway.retries.attempts) == 20
 
 
 def test_each_probe_is_a_command(monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]) -> None:
