--- a/tests/policy/test_leases.py
+++ b/tests/policy/test_leases.py
@@ -1,16 +1,18 @@
+"""Leases, the shared token bucket and the calls to the counter, without the network."""
+
 from __future__ import annotations
 
 from gateway.policy.actions import IncrementCounter, StartAttempt
 from gateway.policy.events import CounterResponse, Outcome
 from gateway.policy.leases import LEASE_MS, REFRESH_INTERVAL_MS
-from tests.support.policy_harness import World, counts, refusals, sends
+from tests.support.policy_harness import World, attempts_in, counter_calls_in, rejections_in
 
 
 def drain(world: World, tries: int, gap: float = 0.0, **ask: object) -> int:
     """How many of so many tries were sent on, each answered at once."""
     sent = 0
     for _ in range(tries):
-        for send in sends(world.ask(**ask)):  # type: ignore[arg-type]
+        for send in attempts_in(world.ask(**ask)):  # type: ignore[arg-type]
             sent += 1
             world.end(send)
         world.pass_time(gap)
@@ -21,28 +23,28 @@
     world.give(CounterResponse(call.name, outcome, reading))
 
 
-def test_a_new_customer_holds_its_even_part_of_the_burst() -> None:
+def test_a_new_lease_holds_its_fair_share_of_the_burst() -> None:
     assert drain(World(), 20) == 4  # burst 8 over two gateways
 
 
-def test_what_the_bucket_cannot_pay_is_refused_at_once_with_a_retry_after() -> None:
+def test_a_request_beyond_the_bucket_is_rejected_at_once_with_a_retry_after() -> None:
     world = World()
     drain(world, 4)
-    (refusal,) = refusals(world.ask())
+    (refusal,) = rejections_in(world.ask())
     assert 0 < refusal.retry_after_ms <= 500
 
 
-def test_the_bucket_fills_at_the_even_share() -> None:
+def test_the_bucket_refills_at_the_fair_share() -> None:
     world = World(counter_available=False)
     drain(world, 10)
     assert drain(world, 100, gap=100) in (9, 10, 11)  # one a second for ten seconds
 
 
-def test_a_refresh_adds_all_that_was_asked_refused_requests_too() -> None:
+def test_a_refresh_reports_all_demand_rejected_requests_too() -> None:
     world = World()
     adds: list[tuple[float, IncrementCounter]] = []
     for _ in range(100):
-        for call in counts(world.ask()):
+        for call in counter_calls_in(world.ask()):
             answer(world, call, 100.0)
             adds.append((world.now, call))
         world.pass_time(50)
@@ -52,10 +54,10 @@
     assert all(call.expires_in_ms <= 60_000 for _, call in adds)
 
 
-def test_the_lease_is_this_gateways_share_of_what_all_asked() -> None:
+def test_the_lease_is_this_gateway_s_share_of_the_demand_of_all() -> None:
     world, total = World(), 50.0
     for _ in range(60):  # ten a second here, forty by all: far past the quota of two
-        for call in counts(world.ask()):
+        for call in counter_calls_in(world.ask()):
             total += 4 * call.amount
             answer(world, call, total)
         world.pass_time(100)
@@ -63,10 +65,10 @@
     assert 0.2 < world.gateway.leases.by_customer["c"].share < 0.3
 
 
-def test_alone_with_all_the_wants_the_lease_is_the_whole_quota() -> None:
+def test_a_gateway_with_all_the_demand_holds_the_whole_quota() -> None:
     world, total, period = World(), 0.0, ""
     for _ in range(60):
-        for call in counts(world.ask()):
+        for call in counter_calls_in(world.ask()):
             if call.amount:
                 total = call.amount + (total if call.name.split(":")[0] == period else 2.0)
                 period = call.name.split(":")[0]
@@ -75,14 +77,14 @@
     assert world.gateway.leases.by_customer["c"].share > 0.95
 
 
-def test_a_lease_unheard_reverts_to_the_even_share() -> None:
+def test_an_expired_lease_reverts_to_the_fair_share() -> None:
     world = World()
-    (call,) = counts(world.ask())
+    (call,) = counter_calls_in(world.ask())
     answer(world, call, 3.0)
     customer = world.gateway.leases.by_customer["c"]
     customer.share = 0.9
     for _ in range(int(LEASE_MS // 1000)):
-        for call in counts(world.ask()):
+        for call in counter_calls_in(world.ask()):
             answer(world, call, 0, Outcome.TIMED_OUT)
         assert customer.share == 0.9, "failed refreshes keep the lease until it ends"
         world.pass_time(1000)
@@ -91,15 +93,15 @@
     assert customer.share == 0.5
 
 
-def test_an_empty_counter_keeps_the_lease_until_a_period_is_whole() -> None:
+def test_a_counter_that_lost_its_totals_leaves_the_lease_until_a_period_is_complete() -> None:
     """Danger: a counter that lost its numbers looks as if nobody had asked for anything."""
     world = World()
-    (call,) = counts(world.ask())
+    (call,) = counter_calls_in(world.ask())
     answer(world, call, 30.0)
     customer = world.gateway.leases.by_customer["c"]
     customer.share, customer.tokens = 0.25, 0.0
     world.pass_time(600)
-    (call,) = counts(world.ask())
+    (call,) = counter_calls_in(world.ask())
     answer(world, call, call.amount + 1)
     assert customer.share == 0.25 and customer.tokens <= 0.5
 
@@ -113,9 +115,9 @@
     assert customer.tokens >= 0
 
 
-def test_who_adds_first_carries_over_what_the_last_period_left_spent() -> None:
+def test_the_first_call_of_a_period_carries_over_what_the_last_one_owed() -> None:
     world = World()
-    (call,) = counts(world.ask())
+    (call,) = counter_calls_in(world.ask())
     world.give(CounterResponse(call.name, Outcome.OK, call.amount))
     read = world.log[-1][1]
     assert isinstance(read, IncrementCounter) and read.amount == 0 and read.name != call.name
@@ -124,49 +126,49 @@
     assert isinstance(owed, IncrementCounter) and owed.amount == 3 and owed.name == call.name
 
 
-def test_what_a_time_out_may_have_added_is_not_added_again_and_what_was_turned_away_is() -> None:
+def test_usage_is_reported_again_after_a_rejected_call_but_not_after_a_time_out() -> None:
     for outcome, again in ((Outcome.TIMED_OUT, 1.0), (Outcome.QUEUE_FULL, 2.0)):
         world = World()
-        (call,) = counts(world.ask())
+        (call,) = counter_calls_in(world.ask())
         answer(world, call, 0, outcome)
         world.gateway.usage.capacity = 1.0
         world.pass_time(600)
-        (call,) = counts(world.ask())
+        (call,) = counter_calls_in(world.ask())
         assert call.amount == again
 
 
-def test_thinned_calls_add_up_to_what_was_asked() -> None:
+def test_calls_to_a_crowded_counter_still_add_up_to_the_demand() -> None:
     """Danger: a skipped add shrinks the total, everyone sees too few wants and grants too much."""
     world = World()
     added, asked = 0.0, 4000
     for _ in range(asked):
         world.gateway.usage.capacity = 0.4
-        for call in counts(world.ask()):
+        for call in counter_calls_in(world.ask()):
             added += call.amount
             answer(world, call, 500.0)
         world.pass_time(400)
     assert 0.9 * asked < added < 1.1 * asked
 
 
-def test_a_sparse_lease_is_asked_for_by_the_request_that_needs_it() -> None:
+def test_a_request_on_a_sparse_lease_waits_for_the_shared_bucket() -> None:
     """Danger: spread over a hundred gateways, a local bucket of one unit each is a hundred units in all."""
     for reading, sent in ((5.0, 1), (1e9, 0)):
         world = World()
         actions = world.ask(spread=100)
-        (call,) = counts(actions)
-        assert not sends(actions) and not refusals(actions)
+        (call,) = counter_calls_in(actions)
+        assert not attempts_in(actions) and not rejections_in(actions)
         world.give(CounterResponse(call.name, Outcome.OK, reading))
-        assert len(sends(a for _, a in world.log)) == sent
-        assert len(refusals(a for _, a in world.log)) == 1 - sent
+        assert len(attempts_in(a for _, a in world.log)) == sent
+        assert len(rejections_in(a for _, a in world.log)) == 1 - sent
 
 
-def test_a_request_that_waits_for_a_silent_counter_is_let_in() -> None:
+def test_a_request_that_waits_for_a_silent_counter_is_admitted() -> None:
     world = World()
     world.ask(spread=100)
-    assert len(sends(world.pass_time(200))) == 1
+    assert len(attempts_in(world.pass_time(200))) == 1
 
 
-def test_many_gateways_hold_a_flooding_customer_to_its_quota_and_let_a_calm_one_in() -> None:
+def test_many_gateways_hold_a_flooding_customer_to_its_quota_and_admit_a_calm_one() -> None:
     """Danger: at hundreds of gateways the even share is under one request each."""
     worlds = [World(seed=i, gateway_count=120, gateway_index=i) for i in range(120)]
     numbers: dict[str, float] = {}
@@ -196,16 +198,16 @@
 def test_idle_customers_are_forgotten() -> None:
     world = World()
     for i in range(500):
-        for send in sends(world.ask(customer=f"once{i}")):
+        for send in attempts_in(world.ask(customer=f"once{i}")):
             world.end(send)
     world.pass_time(3 * LEASE_MS)
     world.ask()
     assert len(world.gateway.leases.by_customer) == 1
 
 
-def test_a_reply_for_a_forgotten_customer_is_ignored() -> None:
+def test_a_response_for_a_forgotten_customer_is_ignored() -> None:
     world = World()
-    call = counts(world.ask() + world.ask() + world.ask() + world.ask() + world.ask())[0]
+    call = counter_calls_in(world.ask() + world.ask() + world.ask() + world.ask() + world.ask())[0]
     world.gateway.leases.by_customer.clear()
     answer(world, call, 5.0)
     answer(world, call, 5.0)
@@ -216,21 +218,21 @@
     assert drain(world, 50, gap=10) == 50
 
 
-def test_a_ceiling_is_split_evenly_and_starts_empty() -> None:
+def test_a_hard_limit_is_split_evenly_and_starts_empty() -> None:
     """Danger: a restarted gateway that starts with a full store spends the ceiling twice."""
     world = World()
-    assert not sends(world.ask(plan="firm"))
+    assert not attempts_in(world.ask(plan="firm"))
     world.pass_time(1000)  # half of twenty a second
     assert drain(world, 100, plan="firm") == 10
 
 
-def test_open_attempts_are_held_to_this_gateways_part_of_the_cap() -> None:
+def test_attempts_in_flight_are_held_to_this_gateway_s_share_of_the_concurrency_limit() -> None:
     world = World()
     world.pass_time(10_000)
-    assert len([s for _ in range(20) for s in sends(world.ask(plan="firm"))]) == 4  # eight over two
+    assert len([s for _ in range(20) for s in attempts_in(world.ask(plan="firm"))]) == 4  # eight over two
 
 
-def test_beyond_quota_only_where_it_earns_and_capacity_is_spare() -> None:
+def test_requests_beyond_quota_pass_only_where_they_earn_and_capacity_is_spare() -> None:
     world = World(counter_available=False)
     assert drain(world, 30, gap=1, plan="bonus") == 30
     slow = World(counter_available=False)
@@ -240,13 +242,13 @@
     assert drain(slow, 30, plan="bonus") <= 2
 
 
-def test_refreshes_thin_out_while_the_counter_fails_calls_and_come_back() -> None:
+def test_refreshes_become_rarer_while_the_counter_fails_calls_and_recover() -> None:
     """Danger: a crowded counter fails everybody's calls, and their number keeps it crowded."""
 
     def calls(world: World, outcome: Outcome) -> int:
         seen = 0
         for _ in range(1200):
-            for call in counts(world.ask()):
+            for call in counter_calls_in(world.ask()):
                 seen += 1
                 answer(world, call, 2.0, outcome)
             world.pass_time(50)
@@ -265,21 +267,21 @@
     return world
 
 
-def test_a_customer_met_at_its_end_is_asked_for_again_once_its_bucket_can_be_full() -> None:
+def test_an_emptied_bucket_is_read_again_once_it_can_be_full() -> None:
     """Danger: after one burst a customer is refused unread for as long as the counter is crowded."""
     asked = {5_000: 0, 12_000: 0}  # burst 8 at two a second: from empty to full in four seconds
     for gap in asked:
         for seed in range(40):
             world = World(seed=seed)
-            (call,) = counts(world.ask(spread=100))
+            (call,) = counter_calls_in(world.ask(spread=100))
             answer(world, call, 1e3)
             crowded(world).pass_time(gap)
-            asked[gap] += len(counts(world.ask(spread=100)))
+            asked[gap] += len(counter_calls_in(world.ask(spread=100)))
     assert asked[5_000] <= 2, "it is likely still short"
     assert asked[12_000] >= 15
 
 
-def test_a_plan_that_loses_nothing_beyond_its_quota_goes_on_unread() -> None:
+def test_a_plan_that_loses_nothing_beyond_its_quota_is_served_unread() -> None:
     """Danger: a call that can't gain anything crowds the counter, and without it a customer is refused."""
     world, sent, asked = World(), 0, 0
     for _ in range(20):
@@ -287,7 +289,7 @@
     world.gateway.stats.response_rate, world.gateway.stats.responded_at = 100.0, world.now
     for _ in range(20):
         actions = crowded(world).ask(plan="bonus", spread=100)
-        asked += len(counts(actions))
-        sent += len(sends(actions))
+        asked += len(counter_calls_in(actions))
+        sent += len(attempts_in(actions))
     assert asked <= 2
     assert sent >= 18
--- /dev/null
+++ b/tests/policy/test_retries.py
@@ -0,0 +1,124 @@
+"""Retries, hedged requests, the retry budget and the rules on running a request twice."""
+
+from __future__ import annotations
+
+import math
+
+import pytest
+
+from gateway.policy.actions import CancelAttempt, Fail, Reject
+from gateway.policy.events import (
+    ClientDisconnected,
+    EndpointState,
+    Outcome,
+)
+from gateway.policy.settings import DeduplicationScope, Idempotency, RequestClass
+from tests.support.policy_harness import (
+    attempts_in,
+    entry,
+    only_attempt_in,
+    serve_steadily,
+    world,
+)
+
+
+def test_an_attempt_that_never_ran_is_retried_at_another_backend() -> None:
+    w = world()
+    for name in ("view", "order", "wipe"):
+        first = only_attempt_in(w.ask(name))
+        again = only_attempt_in(w.end(first, Outcome.CONNECT_ERROR))
+        assert again.backend_id != first.backend_id
+
+
+def test_an_unsafe_request_that_may_have_run_is_neither_retried_nor_rejected() -> None:
+    for outcome in (Outcome.FAILED, Outcome.CONNECTION_RESET, Outcome.TIMED_OUT):
+        w = world()
+        send = only_attempt_in(w.ask("wipe"))
+        assert w.end(send, outcome) == [Fail(send.request_id)]
+
+
+def test_a_request_with_a_key_is_retried_only_inside_its_scope_and_window() -> None:
+    w = world(entry(1, cell=0), entry(2, cell=1), entry(3, cell=0))
+    first = only_attempt_in(w.ask("order"))
+    same_cell = {1: {3}, 3: {1}, 2: set()}[first.backend_id]
+    assert {s.backend_id for s in attempts_in(w.end(first, Outcome.FAILED))} == same_cell
+    lone = world(entry(1, cell=0), entry(2, cell=1))
+    first = only_attempt_in(lone.ask("order"))
+    assert lone.end(first, Outcome.FAILED) == [Fail(first.request_id)]
+    late = world(entry(1, cell=0), entry(3, cell=0))
+    late.gateway.request_classes["order"] = RequestClass(
+        "order", 5000, 9000, 1, Idempotency.WITH_KEY, DeduplicationScope.CELL, 2000
+    )
+    first = only_attempt_in(late.ask("order", life=9000))
+    late.now += 1990
+    assert late.end(first, Outcome.FAILED) == [Fail(first.request_id)]
+
+
+def test_a_retry_with_a_key_states_until_when_it_may_start() -> None:
+    """Danger: its connection may come up only after the group has forgotten the first one."""
+    w = world(entry(1, cell=0), entry(3, cell=0))
+    first = only_attempt_in(w.ask("order"))
+    assert first.start_before == math.inf
+    begun = w.now
+    w.now += 300
+    again = only_attempt_in(w.end(first, Outcome.CONNECTION_RESET))
+    assert begun + 1_900 < again.start_before < begun + 2_000
+    safe = only_attempt_in(w.ask("view"))
+    assert (
+        safe.start_before == only_attempt_in(w.end(safe, Outcome.CONNECTION_RESET)).start_before == math.inf
+    )
+
+
+def test_retries_stop_when_the_budget_is_spent() -> None:
+    w = world()
+    sent = asked = 0
+    for _ in range(300):
+        batch = attempts_in(w.ask())
+        asked += 1
+        attempt = 0
+        while batch:
+            sent += 1
+            batch = attempts_in(w.end(batch[0], Outcome.FAILED, attempt))
+            attempt += 1
+        w.pass_time(50)
+    assert sent <= asked * 1.6 + 10
+
+
+def test_an_overdue_attempt_is_cancelled_and_retried_once() -> None:
+    """Danger: work done twice for every long request, or a silent backend that is waited for to the end."""
+    w = world()
+    serve_steadily(w, lag=50)
+    first = only_attempt_in(w.ask(life=60_000))
+    assert not [a for a in w.pass_time(430) if isinstance(a, CancelAttempt)]
+    assert [a for a in w.pass_time(60) if isinstance(a, CancelAttempt)] == [
+        CancelAttempt(first.request_id, 0)
+    ]
+    again = only_attempt_in(w.end(first, Outcome.CANCELLED))
+    assert again.backend_id != first.backend_id
+
+
+@pytest.mark.parametrize("name", ["view", "order"])
+def test_an_overdue_attempt_is_not_cancelled_where_no_retry_may_follow(name: str) -> None:
+    """Danger: its answer may be on its way, and the request would be given up for nothing."""
+    for lone in (
+        world(entry(1)),
+        world(entry(1), entry(2, EndpointState.DRAINING)),
+        world(entry(1), entry(2), max_attempts=1),
+    ):
+        serve_steadily(lone, lag=50)
+        only_attempt_in(lone.ask(name))
+        assert not [a for a in lone.pass_time(900) if isinstance(a, CancelAttempt | Reject | Fail)]
+
+
+@pytest.mark.parametrize("duplicate", [True, False])
+def test_a_disconnected_client_s_request_is_neither_hedged_nor_retried(duplicate: bool) -> None:
+    """Neither a second copy once the first attempt is out for long, nor the next one once that has failed."""
+    w = world(entry(1), entry(2), entry(3), hedging_allowed=duplicate)
+    stays, leaves = only_attempt_in(w.ask()), only_attempt_in(w.ask())
+    w.give(ClientDisconnected(leaves.request_id))
+    actions = w.pass_time(900)
+    assert [send.request_id for send in attempts_in(actions)] == [stays.request_id] * duplicate
+    ends = w.end(stays, Outcome.FAILED) if not duplicate else []
+    actions = [*ends, *w.end(leaves, Outcome.FAILED), *w.pass_time(3_000)]
+    assert all(send.request_id == stays.request_id for send in attempts_in(actions))
+    assert duplicate or len(attempts_in(ends)) == 1
--- a/tests/policy/test_safety_rules.py
+++ b/tests/policy/test_safety_rules.py
@@ -1,4 +1,4 @@
-"""Random legal event sequences: the five rules hold, and the same events give the same actions."""
+"""Random legal event sequences: the safety rules hold, and the same events give the same actions."""
 
 from __future__ import annotations
 
@@ -129,14 +129,14 @@
 
 @settings(max_examples=150)
 @given(STEPS, st.integers(0, 2**31), st.booleans(), st.booleans())
-def test_the_five_rules_hold(
+def test_the_five_safety_rules_hold(
     steps: list[tuple[str, int, int]], seed: int, double: bool, started: bool
 ) -> None:
     referee = Referee(seed, double, started)
     for step in steps:
         referee.step(*step)
     referee.pass_time(4000)
-    assert set(referee.asked) == referee.final, "every request has its one final answer"
+    assert set(referee.asked) == referee.final, "every request has its one final response"
     assert not referee.world.gateway.requests
 
 
--- a/tests/policy/test_subsetting.py
+++ b/tests/policy/test_subsetting.py
@@ -28,7 +28,7 @@
 from gateway.policy.requests import PendingRequest
 from gateway.policy.subsetting import AT_ONCE, COVER, STEP, SUBSET, EndpointSubset, Order
 from gateway.policy.timers import TimerKind, TimerToken
-from tests.support.policy_harness import KEYED, RULES, SAFE, World, entry, sends, settings
+from tests.support.policy_harness import KEYED, RULES, SAFE, World, attempts_in, entry, settings
 
 READY, DRAINING, GONE = EndpointState.READY, EndpointState.DRAINING, EndpointState.REMOVED
 
@@ -319,8 +319,8 @@
     world = World([entry(1)], gateway_index=3, gateway_count=3_700, request_classes=(SAFE, KEYED))
     world.give(EndpointUpdate(UpdateKind.SNAPSHOT, tuple(some(range(2_000), cells=100))))
     world.pass_time(10)
-    (first,) = sends(world.ask("order"))
-    (again,) = sends(world.end(first, Outcome.CONNECTION_RESET, finished=False))
+    (first,) = attempts_in(world.ask("order"))
+    (again,) = attempts_in(world.end(first, Outcome.CONNECTION_RESET, finished=False))
     assert again.backend_id % 100 == first.backend_id % 100 and again.backend_id != first.backend_id
 
 
@@ -341,7 +341,7 @@
     for number in range(300):
         costs.clear()
         asked = RequestArrived(f"r{number}", "view", "free", "c", 9_000.0, 1.0, 2, 0)
-        (sent,) = sends(gateway.handle(2_000.0 + number, asked))
+        (sent,) = attempts_in(gateway.handle(2_000.0 + number, asked))
         assert len(costs) == scored
         weighed.update(costs)
         used.add(sent.backend_id)
--- a/tests/support/policy_harness.py
+++ b/tests/support/policy_harness.py
@@ -143,13 +143,54 @@
         return [event for event in self.events if type(event) is kind]
 
 
-def sends(actions: Iterable[Action]) -> list[StartAttempt]:
+def attempts_in(actions: Iterable[Action]) -> list[StartAttempt]:
     return [a for a in actions if isinstance(a, StartAttempt)]
 
 
-def counts(actions: Iterable[Action]) -> list[IncrementCounter]:
+def counter_calls_in(actions: Iterable[Action]) -> list[IncrementCounter]:
     return [a for a in actions if isinstance(a, IncrementCounter)]
 
 
-def refusals(actions: Iterable[Action]) -> list[Reject]:
+def rejections_in(actions: Iterable[Action]) -> list[Reject]:
     return [a for a in actions if isinstance(a, Reject)]
+
+
+UNLIMITED = Plan("basic")
+NO_QUOTA = dict(plans=(UNLIMITED,), counter_available=False)
+
+
+def world(*entries: Endpoint, **changes: object) -> World:
+    """A world without quotas, so that only the backends decide."""
+    return World(entries, **{**NO_QUOTA, **changes})
+
+
+def only_attempt_in(actions: list[Action]) -> StartAttempt:
+    """The only attempt that the actions start."""
+    (send,) = attempts_in(actions)
+    return send
+
+
+def backends_used(w: World, tries: int) -> set[int]:
+    """The backends that so many requests go to."""
+    used = set()
+    for _ in range(tries):
+        send = only_attempt_in(w.ask())
+        w.pass_time(20)
+        w.end(send)
+        used.add(send.backend_id)
+        w.pass_time(20)
+    return used
+
+
+def serve_steadily(w: World, rounds: int = 60, gap: float = 20, lag: float = 20) -> None:
+    """Let the gateway meet steady traffic, so that it knows the usual latency and rate."""
+    for _ in range(rounds):
+        send = only_attempt_in(w.ask())
+        w.pass_time(lag)
+        w.end(send)
+        w.pass_time(gap)
+
+
+def last_attempt_number(w: World, send: StartAttempt) -> int:
+    """The number of the last attempt of a start's request."""
+    return sum(1 for _, a in w.log if isinstance(a, StartAttempt) and a.request_id == send.request_id) - 1
