--- a/gateway/policy/admission.py
+++ b/gateway/policy/admission.py
@@ -8,9 +8,7 @@
 from .settings import Settings
 
 SHED_THRESHOLD = 0.6  # of the latency objective: an estimated delay above it leads to rejections ...
-SHED_BAND = (
-    0.5  # ... of a part of the requests, up to all above this more, at a gateway with few requests ...
-)
+SHED_BAND = 0.5  # ... of a part of the requests, up to all above this more, where requests are few ...
 SHED_PRIORITY_SPAN = 0.25  # ... and earlier, by up to this part, of request classes of low priority
 CALM_THRESHOLD = 0.1  # of the latency objective: a delay under which capacity counts as clearly spare
 IN_FLIGHT_PER_BACKEND = 3.0  # attempts of all gateways together that are always allowed at a backend
--- a/gateway/policy/outlier_detection.py
+++ b/gateway/policy/outlier_detection.py
@@ -11,9 +11,7 @@
 LATENCY_WEIGHT = 0.15  # of one response in a backend's excess latency
 FAILURE_WEIGHT = 0.3  # of one outcome in a backend's failure scores
 SCORE_MEMORY_MS = 4_000.0  # a score fades to a third in this time at least ...
-SCORE_MEMORY_GAPS = (
-    5.0  # ... or in so many usual gaps between two requests to a backend, if that is longer ...
-)
+SCORE_MEMORY_GAPS = 5.0  # ... or in so many usual gaps between requests to a backend, if longer ...
 MAX_SCORE_MEMORY_MS = 15_000.0  # ... but in this time at most
 NEGLIGIBLE_FAILURES = 0.01  # a failure score under this says nothing of a class or a plan
 FAILURE_COST = 8.0  # how much failing always raises a backend's cost: clearly behind any healthy one
@@ -49,9 +47,8 @@
         if not self.stats.typical_ms:
             return FIRST_TIMEOUT_FRACTION * attempt.request.request_class.latency_objective_ms
         failing = self.failure_probability(now, attempt.backend, attempt.request)
-        return (
-            max(MIN_TIMEOUT_RATIO, MAX_LATENCY_RATIO / (1 + FAILURE_COST * failing)) * self.stats.typical_ms
-        )
+        ratio = max(MIN_TIMEOUT_RATIO, MAX_LATENCY_RATIO / (1 + FAILURE_COST * failing))
+        return ratio * self.stats.typical_ms
 
     def record_outcome(self, now: float, attempt: Attempt, outcome: Outcome) -> None:
         """Score a backend by the end of an attempt, and take its latency into the statistics."""
