State one behaviour a test in the policy's tests

Composite asserts are split, loops over outcomes and classes are parametrized, and the test of keys, scope and window is three.

--- a/tests/policy/test_admission.py
+++ b/tests/policy/test_admission.py
@@ -66,7 +66,8 @@
     send, attempt = only_attempt_in(w.ask()), 0
     while batch := attempts_in(ended := w.end(send, Outcome.CONNECT_ERROR, attempt)):
         send, attempt = batch[0], attempt + 1
-    assert rejections_in(ended) == [Reject(send.request_id, wait)] and w.now == 10_000
+    assert rejections_in(ended) == [Reject(send.request_id, wait)]
+    assert w.now == 10_000
     spent = world(max_retry_after_ms=most)
     spent.gateway.retries.budget = 0.0
     assert rejections_in(spent.end(only_attempt_in(spent.ask()), Outcome.CONNECTION_RESET)) == [
--- a/tests/policy/test_fleet.py
+++ b/tests/policy/test_fleet.py
@@ -178,10 +178,12 @@
 
 def test_a_number_tells_what_the_bucket_holds() -> None:
     start = 7 * PERIOD_MS - BUCKET.offset
-    assert BUCKET.period(start) == 7 and BUCKET.period(start - 1) == 6
+    assert BUCKET.period(start) == 7
+    assert BUCKET.period(start - 1) == 6
     assert BUCKET.level(start, 7, 0.0) == 8.0
     assert BUCKET.level(start + 1000, 7, 9.0) == pytest.approx(1.0)
-    assert BUCKET.wait(0.5) == 250.0 and BUCKET.wait(-1.0) == 0.0
+    assert BUCKET.wait(0.5) == 250.0
+    assert BUCKET.wait(-1.0) == 0.0
 
 
 def test_the_next_period_owes_what_time_has_not_paid_and_never_more_than_the_burst() -> None:
--- a/tests/policy/test_leases.py
+++ b/tests/policy/test_leases.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import itertools
+
 from gateway.policy.actions import IncrementCounter, StartAttempt
 from gateway.policy.events import CounterResponse, Outcome
 from gateway.policy.leases import LEASE_MS, REFRESH_INTERVAL_MS
@@ -50,7 +52,7 @@
         world.pass_time(50)
     waiting = world.gateway.leases.by_customer["c"].unreported_usage
     assert sum(call.amount for _, call in adds) + waiting == 100
-    assert all(b - a >= REFRESH_INTERVAL_MS for (a, _), (b, _) in zip(adds, adds[1:], strict=False))
+    assert all(b - a >= REFRESH_INTERVAL_MS for (a, _), (b, _) in itertools.pairwise(adds))
     assert all(call.expires_in_ms <= 60_000 for _, call in adds)
 
 
@@ -103,7 +105,8 @@
     world.pass_time(600)
     (call,) = counter_calls_in(world.ask())
     answer(world, call, call.amount + 1)
-    assert customer.share == 0.25 and customer.tokens <= 0.5
+    assert customer.share == 0.25
+    assert customer.tokens <= 0.5
 
 
 def test_a_reading_at_the_very_start_of_a_period_is_survived() -> None:
@@ -120,10 +123,14 @@
     (call,) = counter_calls_in(world.ask())
     world.give(CounterResponse(call.name, Outcome.OK, call.amount))
     read = world.log[-1][1]
-    assert isinstance(read, IncrementCounter) and read.amount == 0 and read.name != call.name
+    assert isinstance(read, IncrementCounter)
+    assert read.amount == 0
+    assert read.name != call.name
     world.give(CounterResponse(read.name, Outcome.OK, 11.0))  # burst 8, and 8 paid back in the period
     owed = world.log[-1][1]
-    assert isinstance(owed, IncrementCounter) and owed.amount == 3 and owed.name == call.name
+    assert isinstance(owed, IncrementCounter)
+    assert owed.amount == 3
+    assert owed.name == call.name
 
 
 def test_usage_is_reported_again_after_a_rejected_call_but_not_after_a_time_out() -> None:
@@ -156,7 +163,8 @@
         world = World()
         actions = world.ask(spread=100)
         (call,) = counter_calls_in(actions)
-        assert not attempts_in(actions) and not rejections_in(actions)
+        assert not attempts_in(actions)
+        assert not rejections_in(actions)
         world.give(CounterResponse(call.name, Outcome.OK, reading))
         assert len(attempts_in(a for _, a in world.log)) == sent
         assert len(rejections_in(a for _, a in world.log)) == 1 - sent
--- a/tests/policy/test_load_balancing.py
+++ b/tests/policy/test_load_balancing.py
@@ -45,7 +45,8 @@
 def test_an_empty_endpoint_list_rejects_at_once() -> None:
     w = world()
     w.give(backends())
-    assert rejections_in(w.ask()) and not attempts_in(w.ask())
+    assert rejections_in(w.ask())
+    assert not attempts_in(w.ask())
 
 
 def test_draining_and_removed_backends_get_nothing_new() -> None:
@@ -82,7 +83,8 @@
         assert 8 <= len(w.gateway.subset) <= 16
         for b in w.gateway.subset:
             met[b.id] += 1
-    assert min(met.values()) >= 0.6 * 300 * 8 / 70 and max(met.values()) <= 1.4 * 300 * 8 / 70
+    assert min(met.values()) >= 0.6 * 300 * 8 / 70
+    assert max(met.values()) <= 1.4 * 300 * 8 / 70
 
 
 def test_forty_gateways_use_few_backends_each_and_keep_them_when_others_change() -> None:
@@ -94,7 +96,8 @@
     before = [{b.id for b in w.gateway.subset} for w in worlds]
     met = [sum(i in used for used in before) for i in range(60)]
     assert all(len(used) <= 20 for used in before)
-    assert min(met) >= 8 and max(met) <= 12
+    assert min(met) >= 8
+    assert max(met) <= 12
     for w in worlds:
         w.give(backends(entry(60), entry(61), entry(62), scope=UpdateKind.DELTA))
     kept = [len({b.id for b in w.gateway.subset} & used) for w, used in zip(worlds, before, strict=True)]
@@ -110,7 +113,8 @@
                 served[half] += 1
                 w.end(send)
             w.pass_time(105)
-    assert 10 < served[0] < 70 and served[1] == 100
+    assert 10 < served[0] < 70
+    assert served[1] == 100
 
 
 def test_any_number_of_cold_backends_gets_less_than_it_surely_can_do() -> None:
--- a/tests/policy/test_outlier_detection.py
+++ b/tests/policy/test_outlier_detection.py
@@ -36,7 +36,8 @@
                     break
                 send = again[0]
         shares.append(hits)
-    assert shares[0] <= 10 and shares[1] <= 10
+    assert shares[0] <= 10
+    assert shares[1] <= 10
     w.pass_time(20_000)
     assert bad in backends_used(w, 40)
 
@@ -66,4 +67,5 @@
         bad = send.backend_id == 1 and name == "order"
         w.end(send, Outcome.FAILED if bad else Outcome.OK)
         hits[name] += send.backend_id == 1 and i > 100
-    assert hits["order"] <= 8 and hits["view"] >= 25
+    assert hits["order"] <= 8
+    assert hits["view"] >= 25
--- a/tests/policy/test_policy.py
+++ b/tests/policy/test_policy.py
@@ -28,7 +28,8 @@
     send = only_attempt_in(w.ask("wipe", life=3000))
     w.pass_time(2960)
     ends = [(t, a) for t, a in w.log if isinstance(a, Fail) and a.request_id == send.request_id]
-    assert len(ends) == 1 and ends[0][0] <= 13_000
+    assert len(ends) == 1
+    assert ends[0][0] <= 13_000
     assert w.end(send, Outcome.TIMED_OUT) == []
 
 
--- a/tests/policy/test_policy_size.py
+++ b/tests/policy/test_policy_size.py
@@ -26,4 +26,5 @@
     assert len(example) == 1
     space: dict[str, object] = {}
     exec(example[0], space)
-    assert space["sent"] and space["served"]
+    assert space["sent"]
+    assert space["served"]
--- a/tests/policy/test_retries.py
+++ b/tests/policy/test_retries.py
@@ -22,51 +22,79 @@
 )
 
 
-def test_an_attempt_that_never_ran_is_retried_at_another_backend() -> None:
+@pytest.mark.parametrize("name", ["view", "order", "wipe"])
+def test_an_attempt_that_never_ran_is_retried_at_another_backend(name: str) -> None:
     w = world()
-    for name in ("view", "order", "wipe"):
-        first = only_attempt_in(w.ask(name))
-        again = only_attempt_in(w.end(first, Outcome.CONNECT_ERROR))
-        assert again.backend_id != first.backend_id
+    first = only_attempt_in(w.ask(name))
 
+    retry = only_attempt_in(w.end(first, Outcome.CONNECT_ERROR))
 
-def test_an_unsafe_request_that_may_have_run_is_neither_retried_nor_rejected() -> None:
-    for outcome in (Outcome.FAILED, Outcome.CONNECTION_RESET, Outcome.TIMED_OUT):
-        w = world()
-        send = only_attempt_in(w.ask("wipe"))
-        assert w.end(send, outcome) == [Fail(send.request_id)]
+    assert retry.backend_id != first.backend_id
 
 
-def test_a_request_with_a_key_is_retried_only_inside_its_scope_and_window() -> None:
+@pytest.mark.parametrize("outcome", [Outcome.FAILED, Outcome.CONNECTION_RESET, Outcome.TIMED_OUT])
+def test_an_unsafe_request_that_may_have_run_is_neither_retried_nor_rejected(outcome: Outcome) -> None:
+    w = world()
+    attempt = only_attempt_in(w.ask("wipe"))
+
+    actions = w.end(attempt, outcome)
+
+    assert actions == [Fail(attempt.request_id)]
+
+
+def test_a_request_with_a_key_is_retried_inside_its_deduplication_scope() -> None:
     w = world(entry(1, cell=0), entry(2, cell=1), entry(3, cell=0))
     first = only_attempt_in(w.ask("order"))
     same_cell = {1: {3}, 3: {1}, 2: set()}[first.backend_id]
-    assert {s.backend_id for s in attempts_in(w.end(first, Outcome.FAILED))} == same_cell
-    lone = world(entry(1, cell=0), entry(2, cell=1))
-    first = only_attempt_in(lone.ask("order"))
-    assert lone.end(first, Outcome.FAILED) == [Fail(first.request_id)]
-    late = world(entry(1, cell=0), entry(3, cell=0))
-    late.gateway.request_classes["order"] = RequestClass(
+
+    retries = attempts_in(w.end(first, Outcome.FAILED))
+
+    assert {retry.backend_id for retry in retries} == same_cell
+
+
+def test_a_request_with_a_key_is_not_retried_outside_its_deduplication_scope() -> None:
+    w = world(entry(1, cell=0), entry(2, cell=1))
+    first = only_attempt_in(w.ask("order"))
+
+    actions = w.end(first, Outcome.FAILED)
+
+    assert actions == [Fail(first.request_id)]
+
+
+def test_a_request_with_a_key_is_not_retried_after_its_deduplication_window() -> None:
+    w = world(entry(1, cell=0), entry(3, cell=0))
+    w.gateway.request_classes["order"] = RequestClass(
         "order", 5000, 9000, 1, Idempotency.WITH_KEY, DeduplicationScope.CELL, 2000
     )
-    first = only_attempt_in(late.ask("order", life=9000))
-    late.now += 1990
-    assert late.end(first, Outcome.FAILED) == [Fail(first.request_id)]
+    first = only_attempt_in(w.ask("order", life=9000))
+    w.now += 1990
+
+    actions = w.end(first, Outcome.FAILED)
+
+    assert actions == [Fail(first.request_id)]
 
 
 def test_a_retry_with_a_key_states_until_when_it_may_start() -> None:
-    """Danger: its connection may come up only after the group has forgotten the first one."""
+    """Danger: its connection may come up only after the backends have forgotten the first one."""
     w = world(entry(1, cell=0), entry(3, cell=0))
     first = only_attempt_in(w.ask("order"))
-    assert first.start_before == math.inf
-    begun = w.now
+    started_at = w.now
     w.now += 300
-    again = only_attempt_in(w.end(first, Outcome.CONNECTION_RESET))
-    assert begun + 1_900 < again.start_before < begun + 2_000
-    safe = only_attempt_in(w.ask("view"))
-    assert (
-        safe.start_before == only_attempt_in(w.end(safe, Outcome.CONNECTION_RESET)).start_before == math.inf
-    )
+
+    retry = only_attempt_in(w.end(first, Outcome.CONNECTION_RESET))
+
+    assert first.start_before == math.inf
+    assert started_at + 1_900 < retry.start_before < started_at + 2_000
+
+
+def test_a_retry_of_an_idempotent_request_may_start_at_any_time() -> None:
+    w = world(entry(1, cell=0), entry(3, cell=0))
+    first = only_attempt_in(w.ask("view"))
+
+    retry = only_attempt_in(w.end(first, Outcome.CONNECTION_RESET))
+
+    assert first.start_before == math.inf
+    assert retry.start_before == math.inf
 
 
 def test_retries_stop_when_the_budget_is_spent() -> None:
--- a/tests/policy/test_safety_rules.py
+++ b/tests/policy/test_safety_rules.py
@@ -40,8 +40,8 @@
         self.final: set[str] = set()
         self.sent: dict[str, list[tuple[int, float, Outcome | None]]] = {}
         self.calls: list[IncrementCounter] = []
-        self.states = {i: EndpointState.READY for i in range(5)}
-        self.told_at = {i: -1e9 for i in range(5)}
+        self.states = dict.fromkeys(range(5), EndpointState.READY)
+        self.told_at = dict.fromkeys(range(5), -1000000000.0)
         self.ceiling, self.ceiling_at = 0.0, self.world.now
         if started:
             self.step("t", 0, 400)
@@ -52,7 +52,8 @@
             if isinstance(action, StartAttempt):
                 name, expires = self.asked[action.request_id]
                 tries = self.sent.setdefault(action.request_id, [])
-                assert action.request_id not in self.final and now <= expires
+                assert action.request_id not in self.final
+                assert now <= expires
                 assert len(tries) < 3
                 assert self.may_duplicate or all(o is not None for _, _, o in tries)
                 ran = [(b, t) for b, t, o in tries if o not in NEVER_RAN]
--- a/tests/support/policy_harness.py
+++ b/tests/support/policy_harness.py
@@ -45,19 +45,19 @@
 
 
 def settings(**changes: object) -> Settings:
-    values: dict[str, object] = dict(
-        gateway_index=0,
-        gateway_count=2,
-        zone="a",
-        request_classes=(SAFE, KEYED, UNSAFE),
-        plans=(BASIC, FIRM, BONUS),
-        safety_rules=RULES,
-        max_attempts=3,
-        cancellation_supported=True,
-        counter_available=True,
-        max_retry_after_ms=500.0,
-        counter_timeout_ms=50.0,
-    )
+    values: dict[str, object] = {
+        "gateway_index": 0,
+        "gateway_count": 2,
+        "zone": "a",
+        "request_classes": (SAFE, KEYED, UNSAFE),
+        "plans": (BASIC, FIRM, BONUS),
+        "safety_rules": RULES,
+        "max_attempts": 3,
+        "cancellation_supported": True,
+        "counter_available": True,
+        "max_retry_after_ms": 500.0,
+        "counter_timeout_ms": 50.0,
+    }
     values.update(changes)
     return Settings(**values)  # type: ignore[arg-type]
 
@@ -132,7 +132,7 @@
         self.events: list[Event] = []
         self.answers: dict[type, list[Action] | Exception] = {}
 
-    def handle(self, now: float, event: Event) -> list[Action]:
+    def handle(self, now: float, event: Event) -> list[Action]:  # noqa: ARG002 - the signature of the policy
         self.events.append(event)
         answer = self.answers.get(type(event), [])
         if isinstance(answer, Exception):
@@ -156,7 +156,7 @@
 
 
 UNLIMITED = Plan("basic")
-NO_QUOTA = dict(plans=(UNLIMITED,), counter_available=False)
+NO_QUOTA = {"plans": (UNLIMITED,), "counter_available": False}
 
 
 def world(*entries: Endpoint, **changes: object) -> World:
