--- a/tests/policy/test_safety_rules.py
+++ b/tests/policy/test_safety_rules.py
@@ -1,4 +1,4 @@
-"""Random legal event sequences: the five rules hold, and the same events give the same actions."""
+"""Random legal event sequences: the safety rules hold, and the same events give the same actions."""
 
 from __future__ import annotations
 
@@ -40,8 +40,8 @@
         self.final: set[str] = set()
         self.sent: dict[str, list[tuple[int, float, Outcome | None]]] = {}
         self.calls: list[IncrementCounter] = []
-        self.states = {i: EndpointState.READY for i in range(5)}
-        self.told_at = {i: -1e9 for i in range(5)}
+        self.states = dict.fromkeys(range(5), EndpointState.READY)
+        self.told_at = dict.fromkeys(range(5), -1000000000.0)
         self.ceiling, self.ceiling_at = 0.0, self.world.now
         if started:
             self.step("t", 0, 400)
@@ -52,7 +52,8 @@
             if isinstance(action, StartAttempt):
                 name, expires = self.asked[action.request_id]
                 tries = self.sent.setdefault(action.request_id, [])
-                assert action.request_id not in self.final and now <= expires
+                assert action.request_id not in self.final
+                assert now <= expires
                 assert len(tries) < 3
                 assert self.may_duplicate or all(o is not None for _, _, o in tries)
                 ran = [(b, t) for b, t, o in tries if o not in NEVER_RAN]
@@ -129,14 +130,14 @@
 
 @settings(max_examples=150)
 @given(STEPS, st.integers(0, 2**31), st.booleans(), st.booleans())
-def test_the_five_rules_hold(
+def test_the_five_safety_rules_hold(
     steps: list[tuple[str, int, int]], seed: int, double: bool, started: bool
 ) -> None:
     referee = Referee(seed, double, started)
     for step in steps:
         referee.step(*step)
     referee.pass_time(4000)
-    assert set(referee.asked) == referee.final, "every request has its one final answer"
+    assert set(referee.asked) == referee.final, "every request has its one final response"
     assert not referee.world.gateway.requests
 
 
--- a/tests/policy/test_subset_use.py
+++ b/tests/policy/test_subset_use.py
@@ -7,6 +7,8 @@
 import pytest
 
 from gateway.policy.actions import SetTimer
+from gateway.policy.backend_table import MAX_KNOWN_OUTSIDE
+from gateway.policy.backends import Backend
 from gateway.policy.events import (
     AttemptEnded,
     EndpointUpdate,
@@ -15,10 +17,12 @@
     TimerFired,
     UpdateKind,
 )
-from gateway.policy.policy import DRAWN, KEPT, Backend, GatewayPolicy, Request
+from gateway.policy.load_balancing import SAMPLE_SIZE, LoadBalancer
+from gateway.policy.policy import GatewayPolicy
+from gateway.policy.requests import PendingRequest
 from gateway.policy.subsetting import MAX_CHANGES_AT_ONCE
 from gateway.policy.timers import TimerKind, TimerToken
-from tests.support.policy_harness import KEYED, RULES, SAFE, World, entry, sends, settings
+from tests.support.policy_harness import KEYED, RULES, SAFE, World, attempts_in, entry, settings
 from tests.support.reference_subset import DRAINING, FLEET_SIZE, READY, ReferenceSubset, ready_endpoints
 
 GATEWAY_INDEX = 1_234
@@ -66,14 +70,14 @@
 def test_statistics_are_kept_of_backends_in_use_only() -> None:
     gateway = create_gateway(9_000)
     rng = random.Random(3)
-    assert len(gateway.backends) == len(gateway.subset) < 100
+    assert len(gateway.backends.known) == len(gateway.subset) < 100
 
     for number in range(9_000):
         change = entry(rng.randrange(9_000), rng.choice((READY, DRAINING)))
         gateway.handle(2_000.0 + number, EndpointUpdate(UpdateKind.DELTA, (change,)))
-        assert len(gateway.backends) <= len(gateway.subset) + KEPT + 1
+        assert len(gateway.backends.known) <= len(gateway.subset) + MAX_KNOWN_OUTSIDE + 1
 
-    assert all(gateway.backends[b.id] is b for b in gateway.subset)
+    assert all(gateway.backends.known[b.id] is b for b in gateway.subset)
 
 
 def test_a_retry_with_an_idempotency_key_finds_its_cell_outside_the_subset() -> None:
@@ -81,35 +85,35 @@
     world = World([entry(1)], gateway_index=3, gateway_count=FLEET_SIZE, request_classes=(SAFE, KEYED))
     world.give(EndpointUpdate(UpdateKind.SNAPSHOT, tuple(ready_endpoints(range(2_000), cells=100))))
     world.pass_time(10)
-    (first,) = sends(world.ask("order"))
+    (first,) = attempts_in(world.ask("order"))
 
-    (retry,) = sends(world.end(first, Outcome.CONNECTION_RESET, finished=False))
+    (retry,) = attempts_in(world.end(first, Outcome.CONNECTION_RESET, finished=False))
 
     assert retry.backend_id % 100 == first.backend_id % 100
     assert retry.backend_id != first.backend_id
 
 
-@pytest.mark.parametrize(("list_length", "scored"), [(200, 12), (15_000, 59), (39_000, DRAWN)])
+@pytest.mark.parametrize(("list_length", "scored"), [(200, 12), (15_000, 59), (39_000, SAMPLE_SIZE)])
 def test_a_choice_scores_a_bounded_number_of_backends(
     list_length: int, scored: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Danger: the subset grows with the list, and each request would weigh all of it."""
     gateway = create_gateway(list_length)
     costs: list[int] = []
-    cost = GatewayPolicy.cost
+    cost = LoadBalancer.cost
 
-    def counted(self: GatewayPolicy, now: float, b: Backend, request: Request) -> float:
+    def counted(self: LoadBalancer, now: float, b: Backend, request: PendingRequest) -> float:
         costs.append(b.id)
         return cost(self, now, b, request)
 
-    monkeypatch.setattr(GatewayPolicy, "cost", counted)
+    monkeypatch.setattr(LoadBalancer, "cost", counted)
     used: set[int] = set()
     weighed: set[int] = set()
 
     for number in range(300):
         costs.clear()
         arrived = RequestArrived(f"r{number}", "view", "free", "c", 9_000.0, 1.0, 2, 0)
-        (sent,) = sends(gateway.handle(2_000.0 + number, arrived))
+        (sent,) = attempts_in(gateway.handle(2_000.0 + number, arrived))
         assert len(costs) == scored
         weighed.update(costs)
         used.add(sent.backend_id)
