--- a/gateway/policy/subsetting.py
+++ b/gateway/policy/subsetting.py
@@ -119,9 +119,8 @@
         for endpoint in update.endpoints:
             self._add_to_snapshot(self._pending, endpoint)
         if update.is_last:
-            snapshot = self._pending
+            self._replace_list(self._pending)
             self._pending = None
-            self._replace_list(snapshot)
         self._correct_window()
 
     def continue_rebuild(self, limit: int = REBUILD_STEP) -> None:
@@ -168,8 +167,6 @@
     def _create(self, backend_id: int) -> BackendT:
         return self._create_backend(self._codec.unpack(backend_id, self.records[backend_id]))
 
-    # ---- the endpoint list ----
-
     def _add_to_snapshot(self, snapshot: PendingSnapshot, endpoint: Endpoint) -> None:
         backend_id = endpoint.backend_id
         is_known = backend_id in self.records
@@ -178,12 +175,10 @@
         if endpoint.state is EndpointState.REMOVED:
             snapshot.records.pop(backend_id, None)
             return
-        if is_known:
-            snapshot.records[backend_id] = self.records[backend_id]
-            return
-        if backend_id not in snapshot.records:
+        if not is_known and backend_id not in snapshot.records:
             snapshot.new_backend_ids.append(backend_id)
-        snapshot.records[backend_id] = self._codec.pack(endpoint, None)
+        record = self.records[backend_id] if is_known else self._codec.pack(endpoint, None)
+        snapshot.records[backend_id] = record
 
     def _apply_change(self, endpoint: Endpoint) -> None:
         backend_id = endpoint.backend_id
@@ -219,8 +214,6 @@
             if record is not None and record[READY_BYTE]:
                 self._add_to_ring(backend_id, record)
 
-    # ---- the ring ----
-
     def _add_to_ring(self, backend_id: int, record: Record) -> None:
         if self._rebuild is not None:
             self._rebuild.ring.add(backend_id, record)
@@ -257,8 +250,6 @@
         if len(self.records) <= MAX_CHANGES_AT_ONCE:
             self.continue_rebuild(MAX_CHANGES_AT_ONCE)
 
-    # ---- the window ----
-
     def _insert_into_window(self, offset: int, backend_id: int) -> None:
         self.backend_ids.insert(offset, backend_id)
         self.backends.insert(offset, self._create(backend_id))
