--- a/gateway/network/client_connection.py
+++ b/gateway/network/client_connection.py
@@ -355,10 +355,10 @@
         """End what the client has begun and does not go on with; `now` is in milliseconds, as of `now_ms`."""
         idle_timeout_ms = FIRST_REQUEST_GRACE_MS if self.owner.is_draining else IDLE_TIMEOUT_MS
         if self.send_buffer and now - self.last_progress_at > SLOW_READER_TIMEOUT_MS:
-            self.owner.rejection_counts["answers left unread"] += 1
+            self.owner.rejection_counts["replies left unread"] += 1
             self.close()
         elif self._is_command_overdue(now):
-            self._reject_input("command not whole in time")
+            self._reject_input("command incomplete at its deadline")
             self.process_input()
         elif now - self.last_used_at > idle_timeout_ms:
             self.close_if_unused()
@@ -380,7 +380,7 @@
         self.close()
 
     def close(self) -> None:
-        """Close at once; the handler is told of each request that has no reply yet."""
+        """Close at once; the handler is notified of each request that has no reply yet."""
         if self.is_closed:
             return
         self.is_closed = True
--- a/gateway/network/client_listener.py
+++ b/gateway/network/client_listener.py
@@ -205,7 +205,7 @@
             (c for c in self.connections if c.send_buffer), key=lambda c: c.last_progress_at, default=None
         )
         if slowest is not None:
-            self.rejection_counts["answers left unread"] += 1
+            self.rejection_counts["replies left unread"] += 1
             slowest.close()
 
     def sweep(self) -> None:
--- a/gateway/network/resp_commands.py
+++ b/gateway/network/resp_commands.py
@@ -33,7 +33,7 @@
 """For each header, what may still become one."""
 
 MAX_HEADER_BYTES = 10
-"""More than any header has, so that a line that never ends is told by its first bytes."""
+"""More than any header has, so that a line that never ends is known by its first bytes."""
 
 UNKNOWN_LENGTH = -1
 
@@ -127,7 +127,7 @@
         return True
 
     def _check_partial_header(self, header: re.Pattern[bytes]) -> None:
-        # A line that never ends, or that begins as no header does, is told by its first bytes.
+        # A line that never ends, or that begins as no header does, is known by its first bytes.
         rest = self._buffer[self._position : self._position + MAX_HEADER_BYTES]
         if rest and not PARTIAL_HEADERS[header].fullmatch(rest):
             raise ProtocolError("not an array of bulk strings")
