Name the parts of the scale runs in the field's words, one job a module

The scale runs were written in words of their own (keeper, world, catalog, stand-ins), with modules that did several jobs and bare dicts and tuples between them.

They are now a supervisor with worker processes, an environment of fake services (scale/fakes), a load generator, a launcher of real gateways and a measured gateway. Only scale/hollow_gateway.py imports the program. The control and fleet scenarios are split into the run, its options or bench, and its tables. Errors have one base class.

--- a/scale/__main__.py
+++ b/scale/__main__.py
@@ -5,43 +5,63 @@
 import asyncio
 import signal
 import sys
-from collections.abc import Callable, Coroutine
-from typing import Any
+from collections.abc import Callable
+from typing import Any, Protocol
 
 import click
 from rich.console import Console
 
-from . import control, fleet, machine, quickstart
-from .errors import RunProblem, UsageProblem
-from .program import checkout
-from .report import Result, ResultFile
+from . import control, control_report, fleet, fleet_report, machine, quickstart
+from .checkout import resolve_checkout
+from .errors import RunError, UsageError
+from .result import Result, ResultFile
 
-Printer = Callable[[Console, Result], None]
-INTERRUPTED = 130
-WIDE = 150  # columns of a table that goes to a file or a pipe
+ResultPrinter = Callable[[Console, Result], None]
+"""Prints the result of a scenario for people."""
 
+EXIT_RUN_FAILED = 1
+EXIT_USAGE = 2
+EXIT_INTERRUPTED = 130
 
-class Numbers(click.ParamType[tuple[float, ...]]):
-    """Numbers with commas between them."""
+PIPE_COLUMNS = 150
+"""Width of a table that goes to a file or a pipe."""
+
+MAX_NUMBER = 1e9
+"""Upper bound of the numbers in an option's list."""
+
+
+class Scenario(Protocol):
+    """What a command runs."""
+
+    def check(self) -> None:
+        """Raise UsageError for what this machine has no room for."""
+
+    async def run(self, progress: Console) -> Result:
+        """Measure; raise RunError where a process fails."""
+
+
+class NumberList(click.ParamType[tuple[float, ...]]):
+    """An option's type: numbers with commas between them."""
 
     name = "N,N,..."
 
     def convert(
         self, value: Any, param: click.Parameter | None, ctx: click.Context | None
     ) -> tuple[float, ...]:
+        """Return the numbers; fail the command line where there is anything else."""
         if isinstance(value, tuple):
             return value
         try:
             numbers = tuple(float(item) for item in str(value).split(","))
         except ValueError:
             self.fail(f"{value!r} is not a list of numbers with commas between", param, ctx)
-        if not all(0 <= number < 1e9 for number in numbers):
+        if not all(0 <= number < MAX_NUMBER for number in numbers):
             self.fail(f"{value!r} holds a number out of range", param, ctx)
         return numbers
 
 
-def common(command: Callable[..., None]) -> Callable[..., None]:
-    """The options that all scenarios have."""
+def common_options(command: Callable[..., None]) -> Callable[..., None]:
+    """Add the options that all scenarios have."""
     options = [
         click.option("--seed", type=int, default=1, show_default=True, help="of all chance"),
         click.option("--json", "json_file", metavar="FILE", help="write the result here as well"),
@@ -58,8 +78,8 @@
     return command
 
 
-def programs(command: Callable[..., None]) -> Callable[..., None]:
-    """The option of scenarios that measure several checkouts in one run."""
+def program_option(command: Callable[..., None]) -> Callable[..., None]:
+    """Add the option of scenarios that measure several checkouts in one run."""
     return click.option(
         "--program",
         multiple=True,
@@ -69,38 +89,45 @@
     )(command)
 
 
-def checkouts(folders: tuple[str, ...]) -> tuple[str, ...]:
-    """Each checkout once, as whole paths. UsageProblem where one holds no program."""
-    return tuple(dict.fromkeys(str(checkout(folder)) for folder in folders))
+def resolve_checkouts(folders: tuple[str, ...]) -> tuple[str, ...]:
+    """Return the absolute path of each checkout, once.
 
+    Raises:
+        UsageError: a folder holds no program.
+    """
+    return tuple(dict.fromkeys(str(resolve_checkout(folder)) for folder in folders))
 
-def whole(numbers: tuple[float, ...], option: str) -> tuple[int, ...]:
-    """UsageProblem for sizes that are none."""
+
+def parse_sizes(numbers: tuple[float, ...], option: str) -> tuple[int, ...]:
+    """Return the distinct sizes that an option names.
+
+    Raises:
+        UsageError: one is no size.
+    """
     if not numbers or any(number < 1 or number != int(number) for number in numbers):
-        raise UsageProblem(f"{option}: sizes are whole numbers from 1 on")
+        raise UsageError(f"{option}: sizes are whole numbers from 1 on")
     return tuple(dict.fromkeys(map(int, numbers)))
 
 
-async def interruptible(run: Coroutine[Any, Any, Result]) -> Result:
-    """SIGTERM ends a run as Ctrl-C does: in order, with all its processes."""
+async def run_interruptibly(scenario: Scenario, progress: Console) -> Result:
+    """Run a scenario so that SIGTERM ends it as Ctrl-C does: in order, with all its processes."""
     task = asyncio.current_task()
     assert task is not None
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
-    return await run
+    return await scenario.run(progress)
 
 
-def carry_out(
-    check: Callable[[], None],
-    run: Callable[[Console], Coroutine[Any, Any, Result]],
-    printer: Printer,
-    json_file: str | None,
-) -> None:
-    check()
+def run_scenario(scenario: Scenario, print_result: ResultPrinter, json_file: str | None) -> None:
+    """Check and run a scenario, write its JSON and print its result."""
+    scenario.check()
     file = ResultFile(json_file)
-    result = asyncio.run(interruptible(run(Console(stderr=True, highlight=False))))
+    progress = Console(stderr=True, highlight=False)
+    result = asyncio.run(run_interruptibly(scenario, progress))
     file.write(result)
-    out = Console(highlight=False)
-    printer(out if out.is_terminal else Console(highlight=False, width=WIDE), result)
+    output = Console(highlight=False)
+    if not output.is_terminal:
+        output = Console(highlight=False, width=PIPE_COLUMNS)
+    print_result(output, result)
 
 
 @click.group(context_settings={"show_default": True, "max_content_width": 110})
@@ -115,17 +142,19 @@
 @click.option("--rate", type=click.FloatRange(0, min_open=True), default=200.0, help="requests a second")
 @click.option("--seconds", type=click.FloatRange(0, 600, min_open=True), default=5.0)
 @click.option("--program", default=".", metavar="DIR", help="a checkout of the program")
-@common
+@common_options
 def quickstart_command(json_file: str | None, program: str, **asked: Any) -> None:
     """A few real gateways under load: what was served, refused and failed, and how fast."""
-    scenario = quickstart.Quickstart(program=str(checkout(program)), **asked)
-    carry_out(scenario.check, scenario.run, quickstart.print_result, json_file)
+    scenario = quickstart.Quickstart(program=str(resolve_checkout(program)), **asked)
+    run_scenario(scenario, quickstart.print_result, json_file)
 
 
 @cli.command("control")
-@click.option("--backends", type=Numbers(), default="200,2000,10000,39000", help="sizes of the list")
-@click.option("--changes", type=Numbers(), default="0,10,100", help="changes a second, in times of even work")
-@click.option("--customers", type=Numbers(), default="300000", help="of the whole fleet, likewise")
+@click.option("--backends", type=NumberList(), default="200,2000,10000,39000", help="sizes of the list")
+@click.option(
+    "--changes", type=NumberList(), default="0,10,100", help="changes a second, in times of even work"
+)
+@click.option("--customers", type=NumberList(), default="300000", help="of the whole fleet, likewise")
 @click.option("--requests", type=click.FloatRange(0, 2_000), default=50.0, help="a second, with customers")
 @click.option("--fleet", type=click.IntRange(1), default=3_700, help="gateways of the whole fleet")
 @click.option("--spread", type=click.IntRange(1), default=30, help="gateways that serve a customer")
@@ -139,8 +168,8 @@
     help="seconds for a burst of single messages",
 )
 @click.option("--repeats", type=click.IntRange(1, 100), default=3)
-@programs
-@common
+@program_option
+@common_options
 def control_command(
     json_file: str | None,
     program: tuple[str, ...],
@@ -150,27 +179,27 @@
 ) -> None:
     """One gateway's control work by size of list: processor time, hold-ups of the loop, memory and bytes."""
     scenario = control.Control(
-        backends=whole(backends, "--backends"),
+        backends=parse_sizes(backends, "--backends"),
         customers=tuple(map(int, customers)),
-        programs=checkouts(program),
+        programs=resolve_checkouts(program),
         **asked,
     )
-    carry_out(scenario.check, scenario.run, control.print_result, json_file)
+    run_scenario(scenario, control_report.print_result, json_file)
 
 
 @cli.command("fleet")
 @click.option("--hollow", type=click.IntRange(1), default=40, help="gateways without clients")
-@click.option("--processes", type=click.IntRange(1, machine.MOST_PROCESSES), default=4, help="that hold them")
+@click.option("--processes", type=click.IntRange(1, machine.MAX_PROCESSES), default=4, help="that hold them")
 @click.option("--real", type=click.IntRange(0), default=2, help="gateways, a process each")
 @click.option("--backends", type=click.IntRange(2), default=2_000, help="size of the list")
 @click.option("--changes", type=click.FloatRange(0.1, 10_000), default=10.0, help="a second")
 @click.option("--seconds", type=click.FloatRange(0.1, 600), default=5.0, help="of each part")
-@click.option("--bursts", type=Numbers(), default="300,5000", help="changes told in one message")
+@click.option("--bursts", type=NumberList(), default="300,5000", help="changes told in one message")
 @click.option(
     "--window", type=click.FloatRange(0.5, 60), default=1.0, help="seconds of requests round a burst"
 )
-@click.option("--customers", type=Numbers(), default="30000,300000", help="of the whole fleet")
-@click.option("--spread", type=Numbers(), default="3,30", help="gateways that serve a customer")
+@click.option("--customers", type=NumberList(), default="30000,300000", help="of the whole fleet")
+@click.option("--spread", type=NumberList(), default="3,30", help="gateways that serve a customer")
 @click.option("--requests", type=click.FloatRange(0.1, 2_000), default=20.0, help="a second, each hollow one")
 @click.option(
     "--rate", type=click.FloatRange(0.1, 20_000), default=300.0, help="requests a second, all real ones"
@@ -179,8 +208,8 @@
 @click.option(
     "--patience", type=click.FloatRange(1, 600), default=30.0, help="seconds for a change to be in force"
 )
-@programs
-@common
+@program_option
+@common_options
 def fleet_command(
     json_file: str | None,
     program: tuple[str, ...],
@@ -191,31 +220,31 @@
 ) -> None:
     """Many hollow gateways and a few real ones: how soon changes are in force, and what they cost."""
     scenario = fleet.Fleet(
-        bursts=whole(bursts, "--bursts"),
-        customers=whole(customers, "--customers"),
-        spread=whole(spread, "--spread"),
-        programs=checkouts(program),
+        bursts=parse_sizes(bursts, "--bursts"),
+        customers=parse_sizes(customers, "--customers"),
+        spread=parse_sizes(spread, "--spread"),
+        programs=resolve_checkouts(program),
         **asked,
     )
-    carry_out(scenario.check, scenario.run, fleet.print_result, json_file)
+    run_scenario(scenario, fleet_report.print_result, json_file)
 
 
 def main() -> int:
-    """0 once a run is done, 1 if it failed, 2 for what cannot be run, 130 if it was interrupted."""
+    """Run the command line; return its exit status."""
     try:
         cli.main(prog_name="python -m scale", standalone_mode=False)
     except click.ClickException as error:
         error.show()
         return error.exit_code
-    except UsageProblem as error:
+    except UsageError as error:
         print(f"scale: {error}", file=sys.stderr)
-        return 2
-    except RunProblem as error:
+        return EXIT_USAGE
+    except RunError as error:
         print(f"scale: the run failed: {error}", file=sys.stderr)
-        return 1
+        return EXIT_RUN_FAILED
     except (click.Abort, KeyboardInterrupt, asyncio.CancelledError):
         print("scale: interrupted, all processes have ended", file=sys.stderr)
-        return INTERRUPTED
+        return EXIT_INTERRUPTED
     return 0
 
 
--- /dev/null
+++ b/scale/checkout.py
@@ -0,0 +1,66 @@
+"""Checkouts of the program, and which of them a process measures."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+from pathlib import Path
+
+from .errors import RunError, UsageError
+
+PACKAGE = "gateway"
+"""The package of the measured program."""
+
+REQUIRED_FILES = (f"{PACKAGE}/__init__.py", f"{PACKAGE}/__main__.py")
+"""What a folder must hold to count as a checkout."""
+
+GIT_TIMEOUT_S = 10.0
+"""How long git may take to name a commit."""
+
+
+def resolve_checkout(folder: str) -> Path:
+    """Return the absolute path of a checkout.
+
+    Raises:
+        UsageError: the folder holds no program.
+    """
+    path = Path(folder).resolve()
+    missing = [name for name in REQUIRED_FILES if not (path / name).is_file()]
+    if missing:
+        raise UsageError(f"--program {folder}: no checkout of the program, {' and '.join(missing)} missing")
+    return path
+
+
+def describe_commit(folder: str) -> str:
+    """Return the short commit of a checkout, with a + where it has changes; empty where there is none."""
+    git = ["git", "-C", folder]
+    try:
+        head = subprocess.run(
+            [*git, "rev-parse", "--short", "HEAD"], capture_output=True, text=True, timeout=GIT_TIMEOUT_S
+        )
+        status = subprocess.run(
+            [*git, "status", "--porcelain", PACKAGE], capture_output=True, timeout=GIT_TIMEOUT_S
+        )
+    except (OSError, subprocess.TimeoutExpired):
+        return ""
+    has_changes = bool(head.stdout and status.stdout)
+    return head.stdout.strip() + ("+" if has_changes else "")
+
+
+def prefer_checkout(folder: str) -> None:
+    """Let this process import the program from a checkout before any other place."""
+    sys.path.insert(0, folder)
+
+
+def check_import_origin(folder: str) -> None:
+    """Check that the program was imported from `folder`.
+
+    Raises:
+        RunError: a module of it came from elsewhere.
+    """
+    for name, module in list(sys.modules.items()):
+        origin = getattr(module, "__file__", None)
+        if name.partition(".")[0] != PACKAGE or not origin:
+            continue
+        if Path(folder) not in Path(origin).resolve().parents:
+            raise RunError(f"{name} came from {origin}, not from {folder}")
--- a/scale/errors.py
+++ b/scale/errors.py
@@ -1,15 +1,22 @@
-"""What can go wrong, by who has to act on it."""
+"""Errors of a scale run.
+
+They don't share the gateway's base class, because the leading process never imports the measured program.
+"""
 
 from __future__ import annotations
 
 
-class UsageProblem(Exception):
-    """What was asked for cannot be run: the command line ends with status 2."""
+class ScaleError(Exception):
+    """Base class of the errors that a scale run raises on purpose."""
+
+
+class UsageError(ScaleError):
+    """The command line asks for a run that this machine or this tool cannot carry out."""
 
 
-class RunProblem(Exception):
-    """A run that began could not be finished: the command line ends with status 1."""
+class RunError(ScaleError):
+    """A worker process failed, so the run has no result."""
 
 
-class LateProblem(RunProblem):
-    """A process did not answer in time."""
+class CallTimeoutError(RunError):
+    """A worker process did not answer a call in time."""
--- /dev/null
+++ b/scale/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Fakes of what surrounds a gateway: discovery, the counter and the backends, on loopback ports."""
--- /dev/null
+++ b/scale/fakes/endpoint_list.py
@@ -0,0 +1,122 @@
+"""A synthetic endpoint list, in the form of discovery's entries, and its changes."""
+
+from __future__ import annotations
+
+import json
+import random
+import time
+from collections.abc import Iterable, Sequence
+from typing import Any, NamedTuple
+
+from ..gateway_configuration import LOOPBACK, ZONES
+
+BACKENDS_PER_RACK = 40
+"""Backends that stand in one failure domain, as in the fleet that the list is modelled on."""
+
+NEXT_HEALTH = {"up": "draining", "draining": "removed", "removed": "up"}
+"""The life of a backend: what its health becomes at its next change."""
+
+
+class Change(NamedTuple):
+    """One watch event: its version, its JSON line, and the names of the backends that it changes."""
+
+    version: int
+    line: bytes
+    hosts: list[str]
+
+
+def listed_backend(  # noqa: PLR0913 - one argument for each key that differs
+    host: str, address: str, *, zone: str = "a", rack: int, health: str = "up", born_ms: int = 0
+) -> dict[str, Any]:
+    """Return one entry of the list, as discovery gives it; `born_ms` is in Unix milliseconds."""
+    return {
+        "host": host,
+        "dial": address,
+        "site": zone,
+        "class": "m2",
+        "block": rack,
+        "health": health,
+        "share": 1.0,
+        "born_ms": born_ms,
+    }
+
+
+def encode_entry(entry: dict[str, Any]) -> bytes:
+    """Return an entry as compact JSON."""
+    return json.dumps(entry, separators=(",", ":")).encode()
+
+
+def encode_list(version: int, entries: Iterable[bytes], *, is_snapshot: bool) -> bytes:
+    """Return the JSON object of a snapshot, or of a change, from encoded entries."""
+    whole = b"true" if is_snapshot else b"false"
+    return b'{"seq":%d,"whole":%b,"hosts":[%b]}' % (version, whole, b",".join(entries))
+
+
+class SyntheticEndpointList:
+    """A list of backends that changes on demand.
+
+    Entries are kept as they go on the wire, because a list is sent many times.
+    """
+
+    def __init__(self, backends: int, ports: Sequence[int], seed: int) -> None:
+        """`ports` are those of the fake backends, which the listed ones share evenly."""
+        rng = random.Random(seed)
+        self.version = 1
+        self.entries = [
+            listed_backend(
+                f"s-{number:05d}-{rng.getrandbits(32):08x}",
+                f"{LOOPBACK}:{ports[number % len(ports)]}",
+                zone=ZONES[number // BACKENDS_PER_RACK % len(ZONES)],
+                rack=number // BACKENDS_PER_RACK,
+            )
+            for number in range(backends)
+        ]
+        self._encoded_entries = [encode_entry(entry) for entry in self.entries]
+        self._change_order = list(range(backends))  # each changes once before any changes again
+        rng.shuffle(self._change_order)
+        self._marker = self._change_order.pop() if backends > 1 else 0
+        self._change_count = 0
+        self._snapshot = b""
+
+    @property
+    def marker_host(self) -> str:
+        """The backend that changes only where a watch event is to mark an end."""
+        return str(self.entries[self._marker]["host"])
+
+    def snapshot(self) -> bytes:
+        """Return the whole list as one JSON line."""
+        if not self._snapshot:
+            listed = (
+                text
+                for entry, text in zip(self.entries, self._encoded_entries, strict=True)
+                if entry["health"] != "removed"
+            )
+            self._snapshot = encode_list(self.version, listed, is_snapshot=True)
+        return self._snapshot
+
+    def change(self, count: int) -> Change:
+        """Change the next `count` backends, each to what follows in its life.
+
+        They are distinct, so at most all but the marker change.
+        """
+        count = min(count, len(self._change_order))
+        places = [(self._change_count + offset) % len(self._change_order) for offset in range(count)]
+        self._change_count += count
+        return self._apply([self._change_order[place] for place in places])
+
+    def change_marker(self) -> Change:
+        """Change the backend that changes at no other time."""
+        return self._apply([self._marker])
+
+    def _apply(self, numbers: list[int]) -> Change:
+        for number in numbers:
+            entry = self.entries[number]
+            entry["health"] = NEXT_HEALTH[str(entry["health"])]
+            if entry["health"] == "up":
+                entry["born_ms"] = int(time.time() * 1000)
+            self._encoded_entries[number] = encode_entry(entry)
+        self.version += 1
+        self._snapshot = b""
+        changed = (self._encoded_entries[number] for number in numbers)
+        line = encode_list(self.version, changed, is_snapshot=False)
+        return Change(self.version, line, [str(self.entries[number]["host"]) for number in numbers])
--- /dev/null
+++ b/scale/fakes/service.py
@@ -0,0 +1,76 @@
+"""What all fake services share: listening sockets, open connections and counts of bytes."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from typing import cast
+
+from ..gateway_configuration import LOOPBACK
+
+LISTEN_BACKLOG = 4096
+"""Connections that may wait to be accepted: a whole fleet starts at once."""
+
+
+class ServiceConnection(asyncio.Protocol):
+    """One connection to a fake service, whose bytes the service counts."""
+
+    def __init__(self, service: FakeService) -> None:
+        self._service = service
+        self.transport: asyncio.Transport | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Register with the service."""
+        self.transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
+        self._service.connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002 - the protocol's signature
+        """Leave the service."""
+        self.transport = None
+        self._service.connections.discard(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Count the bytes and process them."""
+        self._service.bytes_received += len(data)
+        self.process_input(data)
+
+    def process_input(self, data: bytes) -> None:
+        """Answer what has arrived."""
+        raise NotImplementedError
+
+    def write(self, data: bytes) -> None:
+        """Send bytes, unless the peer has gone."""
+        if self.transport is not None and not self.transport.is_closing():
+            self._service.bytes_sent += len(data)
+            self.transport.write(data)
+
+
+class FakeService:
+    """A service that listens on free ports of the loopback address."""
+
+    def __init__(self) -> None:
+        self.connections: set[ServiceConnection] = set()
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        self._servers: list[asyncio.Server] = []
+
+    async def listen(self, connect: Callable[[], ServiceConnection], ports: int = 1) -> list[int]:
+        """Listen on so many free ports, and return them."""
+        loop = asyncio.get_running_loop()
+        for _ in range(ports):
+            server = await loop.create_server(connect, LOOPBACK, 0, backlog=LISTEN_BACKLOG)
+            self._servers.append(server)
+        return [server.sockets[0].getsockname()[1] for server in self._servers]
+
+    def begin(self) -> None:
+        """Restart all counts."""
+        self.bytes_sent = 0
+        self.bytes_received = 0
+
+    def close(self) -> None:
+        """Stop listening and abort all connections."""
+        for server in self._servers:
+            server.close()
+        for connection in list(self.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
--- /dev/null
+++ b/scale/gateway_configuration.py
@@ -0,0 +1,80 @@
+"""The configuration that the gateways of a run get, in the form of the program's configuration file."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+LOOPBACK = "127.0.0.1"
+"""All sockets of a run are on this address."""
+
+ZONES = ("a", "b", "c")
+"""Zones that backends and gateways are spread over."""
+
+DEADLINE_MS = 2_500
+"""How long a client waits for its answer."""
+
+REQUEST_CLASS_NAME = "lookup"
+PLAN_NAME = "team"
+
+GATEWAY_MEMORY_MB = 192
+GATEWAY_SOCKETS = 1024
+
+REQUEST_CLASS = {
+    "name": REQUEST_CLASS_NAME,
+    "aim": 800.0,
+    "deadline": float(DEADLINE_MS),
+    "effect": "pure",
+    "importance": 1.0,
+}
+"""The one class of all requests: idempotent."""
+
+PLAN = {"name": PLAN_NAME, "rate": 5.0, "mostAtOnce": 10.0, "overrunCost": 1.0}
+"""The one plan of all customers.
+
+Its burst is leased where a customer is spread over six gateways or fewer, and shared over more.
+"""
+
+CAPABILITIES = {
+    "maxAttempts": 3,
+    "cancelling": True,
+    "retryAfter": True,
+    "maxRetryAfter": 1_000.0,
+    "connectTimeout": 250.0,
+    "keepalive": 15_000.0,
+    "maxOpen": 2_000,
+}
+
+SAFETY_RULES = {"warmWithin": 10_000.0, "startCapacity": 0.2, "drainGrace": 1_000.0, "fallMultiple": 2.0}
+
+COUNTER = {"mayCount": True, "countWait": 100.0, "unitsTop": 1}
+
+
+def settings_document(index: int, gateways: int, **changes: Any) -> dict[str, Any]:
+    """Return the settings of gateway `index` in a fleet of `gateways`; `changes` replace whole entries."""
+    document: dict[str, Any] = {
+        "az": ZONES[index % len(ZONES)],
+        "groupSize": gateways,
+        "selfIndex": index,
+        "caps": CAPABILITIES,
+        "classes": [REQUEST_CLASS],
+        "packages": [PLAN],
+        "familyInfo": COUNTER,
+        "rules": SAFETY_RULES,
+    }
+    return document | changes
+
+
+def gateway_config(
+    index: int, gateways: int, *, discovery_port: int, counter_port: int, seed: int
+) -> dict[str, Any]:
+    """Return the configuration of gateway `index`, which listens on a free port."""
+    return {
+        "name": f"n{index}",
+        "listen": f"{LOOPBACK}:0",
+        "discovery": f"{LOOPBACK}:{discovery_port}",
+        "counter": f"{LOOPBACK}:{counter_port}",
+        "seed": f"{random.Random(f'{seed}:{index}').getrandbits(63):x}",
+        "limits": {"cores": 1.0, "memory_mb": GATEWAY_MEMORY_MB, "sockets": GATEWAY_SOCKETS},
+        "settings": settings_document(index, gateways),
+    }
--- /dev/null
+++ b/scale/hollow_gateway.py
@@ -0,0 +1,219 @@
+"""A hollow gateway: the program's own control parts, joined as the program joins them, without clients.
+
+It watches the endpoint list, holds its state and keeps leases at the counter. Requests reach the policy as
+commands, and what is forwarded ends at once as served, so the calls to the counter are the true ones.
+
+This is the only module that imports the program: only worker processes that measure one may import it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import itertools
+import random
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, cast
+
+from gateway.network.backend_pool import Attempt, BackendPool
+from gateway.network.backoff import Backoff
+from gateway.network.client_listener import ClientConnection, PendingReply, RequestParser
+from gateway.network.configuration import Config, parse_config
+from gateway.network.counter_client import CounterClient
+from gateway.network.dispatcher import Dispatcher
+from gateway.network.endpoint_watch import EndpointWatcher, backend_id_of
+from gateway.network.timers import TimerQueue
+from gateway.policy.events import Outcome, UpdateKind
+
+from .customers import Customers
+
+__all__ = ["HollowGateway", "WatchEvent", "backend_id_of", "freeze_garbage_collector", "send_requests"]
+
+DESCRIPTOR_SHARE = 0.25
+"""Part of the descriptors that backend connections may take, as in the program."""
+
+MEMORY_SHARE = 0.2
+"""Part of the memory that backend connections may take, as in the program."""
+
+SECOND_WATCH_GRACE_SHARE = 0.25
+"""Part of the drain grace after which a second watch is opened beside a silent one, as in the program."""
+
+MIN_SECOND_WATCH_DELAY_S = 0.05
+"""Least time until that second watch, as in the program."""
+
+REQUEST_INTERVAL_S = 0.005
+"""Between two looks at which requests are due."""
+
+
+class ServingBackendPool(BackendPool):
+    """A pool that holds the endpoint list as ever, and ends each attempt at once as served."""
+
+    def start(self, attempt: Attempt) -> None:
+        """End the attempt as served."""
+        attempt.end(Outcome.OK)
+
+
+class CountedReply(PendingReply):
+    """The place of a reply that no client waits for."""
+
+    __slots__ = ("_gateway",)
+
+    def __init__(self, gateway: HollowGateway) -> None:
+        super().__init__(cast(ClientConnection, None))
+        self._gateway = gateway
+
+    def complete(self, reply: bytes) -> None:
+        """Count the request, if it was served."""
+        if not self.answered:
+            self.answered = True
+            self._gateway.served_requests += reply.startswith(b"$")
+
+    def detect_disconnect(self) -> None:
+        """Do nothing: no client stands behind it that could leave."""
+
+
+@dataclass(frozen=True, slots=True)
+class WatchEvent:
+    """When a change of the list had been applied, in monotonic seconds, and the backends it changed."""
+
+    applied_at: float
+    backend_ids: list[int]
+
+
+class HollowGateway:
+    """One hollow gateway. Notes when each change of the list was applied."""
+
+    def __init__(self, raw_config: dict[str, Any], on_update: Callable[[], None] | None = None) -> None:
+        """`raw_config` holds no cached list; `on_update` is called after each part of a list or change."""
+        config = parse_config(raw_config)
+        timers = TimerQueue(asyncio.get_running_loop())
+        self.index = config.settings.gateway_index
+        self._on_update = on_update
+        self._backends = create_backend_pool(config, timers)
+        self._counter = create_counter_client(config, timers)
+        self._dispatcher = Dispatcher(
+            config.settings, config.seed, timers, self._backends, self._counter, config.max_open_requests
+        )
+        self._parser = RequestParser(config.settings)
+        self._watcher = create_endpoint_watcher(config, self._on_endpoints)
+        self._watch_task: asyncio.Task[None] | None = None
+        self._request_ids = itertools.count(1)
+        self.watch_events: list[WatchEvent] = []
+        self._applied_at: dict[int, list[float]] = {}  # by backend, from events that were looked at
+        self.begin()
+
+    def begin(self) -> None:
+        """Forget what was applied and served so far."""
+        self.watch_events.clear()
+        self._applied_at.clear()
+        self.sent_requests = 0
+        self.served_requests = 0
+        self.change_count = 0
+
+    def _on_endpoints(self, *args: Any, **kwargs: Any) -> None:
+        self._dispatcher.on_endpoints(*args, **kwargs)
+        kind, endpoints = args[:2]
+        if kind is UpdateKind.DELTA:
+            self.change_count += 1
+            backend_ids = [endpoint.entry.backend_id for endpoint in endpoints]
+            self.watch_events.append(WatchEvent(time.monotonic(), backend_ids))
+        if self._on_update is not None:
+            self._on_update()
+
+    def start(self) -> None:
+        """Read the list and watch it from then on."""
+        self._watch_task = asyncio.get_running_loop().create_task(self._watcher.run())
+
+    async def wait_for_snapshot(self) -> None:
+        """Wait until the whole list has been read; raises what ended the watch, if that ended."""
+        assert self._watch_task is not None
+        snapshot = asyncio.get_running_loop().create_task(self._watcher.snapshot_received.wait())
+        await asyncio.wait({snapshot, self._watch_task}, return_when=asyncio.FIRST_COMPLETED)
+        snapshot.cancel()
+        if self._watch_task.done():
+            self._watch_task.result()
+
+    def applied_at(self, backend_id: int, since: float) -> float | None:
+        """Return when the first change of a backend since a time was applied, None while it is not.
+
+        Both times are in monotonic seconds.
+        """
+        events, self.watch_events = self.watch_events, []
+        for event in events:
+            for changed in event.backend_ids:
+                self._applied_at.setdefault(changed, []).append(event.applied_at)
+        return next((at for at in self._applied_at.get(backend_id, ()) if at >= since), None)
+
+    def send_request(self, customers: Customers) -> None:
+        """Give the policy a request of one of this gateway's customers."""
+        command = self._parser.parse(customers.request(self.index, next(self._request_ids)))
+        self.sent_requests += 1
+        self._dispatcher.on_request(command, CountedReply(self))
+
+    def close(self) -> None:
+        """End the watch and close all connections."""
+        if self._watch_task is not None:
+            self._watch_task.cancel()
+        self._backends.close()
+        if self._counter is not None:
+            self._counter.close()
+
+
+def create_backend_pool(config: Config, timers: TimerQueue) -> BackendPool:
+    """Create the pool as the program does, but one that serves at once."""
+    return ServingBackendPool(
+        asyncio.get_running_loop(),
+        timers,
+        config.connect_timeout_ms,
+        config.keepalive_ms,
+        config.settings.safety_rules.drain_grace_ms,
+        int(config.max_descriptors * DESCRIPTOR_SHARE),
+        int(config.memory_mb * MEMORY_SHARE * 2**20),
+    )
+
+
+def create_counter_client(config: Config, timers: TimerQueue) -> CounterClient | None:
+    """Create the counter's client as the program does; None where there is no counter."""
+    if not config.counter:
+        return None
+    loop = asyncio.get_running_loop()
+    return CounterClient(loop, timers, config.counter, config.settings.counter_timeout_ms)
+
+
+def create_endpoint_watcher(config: Config, listener: Callable[..., None]) -> EndpointWatcher:
+    """Create the watcher as the program does, without a cached list."""
+    settings = config.settings
+    poll_interval_s = config.poll_interval_ms / 1000
+    backoff = Backoff(settings.gateway_count, poll_interval_s, random.Random(config.seed))
+    drain_grace_s = settings.safety_rules.drain_grace_ms / 1000
+    second_watch_delay_s = max(MIN_SECOND_WATCH_DELAY_S, drain_grace_s * SECOND_WATCH_GRACE_SHARE)
+    return EndpointWatcher(
+        config.discovery, None, listener, backoff, settings.polls_endpoints, second_watch_delay_s
+    )
+
+
+async def send_requests(
+    gateways: list[HollowGateway], customers: Customers, rate: float, seconds: float
+) -> None:
+    """Give each gateway `rate` requests a second, evenly, for so many seconds."""
+    started_at = time.monotonic()
+    total_rate = rate * len(gateways)
+    total = int(rate * seconds * len(gateways))
+    sent = 0
+    while sent < total:
+        now = time.monotonic()
+        while sent < total and started_at + sent / total_rate <= now:
+            gateways[sent % len(gateways)].send_request(customers)
+            sent += 1
+        await asyncio.sleep(REQUEST_INTERVAL_S)
+    await asyncio.sleep(max(0.0, started_at + seconds - time.monotonic()))
+
+
+def freeze_garbage_collector() -> float:
+    """Collect and freeze, as the program does once it has started; return the milliseconds that it took."""
+    started_at = time.perf_counter()
+    gc.collect()
+    gc.freeze()
+    return (time.perf_counter() - started_at) * 1000
--- /dev/null
+++ b/scale/load_generator.py
@@ -0,0 +1,242 @@
+"""The worker role of the clients: requests at an even rate to gateways, whatever becomes of those before."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import time
+from dataclasses import dataclass, field
+from typing import Any, cast
+
+from .customers import Customers
+from .gateway_configuration import DEADLINE_MS, LOOPBACK
+from .histogram import LagMeter, LatencyHistogram
+from .resp import encode_command, parse_reply
+
+SEND_INTERVAL_S = 0.002
+"""Between two looks at which requests are due."""
+
+REQUEST_TIMEOUT_S = DEADLINE_MS / 1000 + 0.5
+"""A gateway owes an answer within the deadline; the rest is for the way."""
+
+MAX_OPEN_REQUESTS = 5_000
+"""Requests in flight at once; those over it are counted as unsent."""
+
+
+@dataclass
+class LoadResult:
+    """What became of the requests of one run of the clients."""
+
+    sent: int = 0
+    unsent: int = 0
+    served: int = 0
+    rejected: int = 0
+    failed: int = 0
+    in_flight: int = 0
+    latency: LatencyHistogram = field(default_factory=LatencyHistogram)
+    added_latency: LatencyHistogram = field(default_factory=LatencyHistogram)
+
+    def record(self, request: LoadRequest, reply: bytes | None) -> None:
+        """Take in the reply to a request; None: there was none."""
+        self.in_flight -= 1
+        if reply is not None and reply.startswith(b"$"):
+            latency_ms = (time.monotonic() - request.sent_at) * 1000
+            backend_ms = int(reply[1:]) / 1000
+            self.served += 1
+            self.latency.record(latency_ms)
+            self.added_latency.record(max(0.0, latency_ms - backend_ms))
+        elif reply is not None and reply.startswith(b"-BUSY"):
+            self.rejected += 1
+        else:
+            self.failed += 1
+
+    def summary(self) -> dict[str, Any]:
+        """Return counts of requests, and the histograms of latency and of what a gateway adds to it."""
+        return {
+            "sent": self.sent,
+            "unsent": self.unsent,
+            "served": self.served,
+            "refused": self.rejected,
+            "failed": self.failed,
+            "latency": self.latency.summary(),
+            "added": self.added_latency.summary(),
+        }
+
+
+class LoadRequest:
+    """One request, from its sending to its reply."""
+
+    __slots__ = ("command", "is_retry", "result", "sent_at")
+
+    def __init__(self, command: bytes, result: LoadResult) -> None:
+        self.command = command
+        self.result = result
+        self.sent_at = time.monotonic()
+        self.is_retry = False
+
+
+class ClientConnection(asyncio.Protocol):
+    """One connection to a gateway, with one request on it at a time."""
+
+    def __init__(self, target: GatewayTarget) -> None:
+        self._target = target
+        self._unread = b""
+        self._transport: asyncio.Transport | None = None
+        self.request: LoadRequest | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self._transport = cast(asyncio.Transport, transport)  # uvloop's is no subclass
+
+    def send(self, request: LoadRequest) -> None:
+        """Send a request on this idle connection."""
+        assert self._transport is not None
+        self.request = request
+        self._transport.write(request.command)
+
+    def data_received(self, data: bytes) -> None:
+        """Record the reply once it is complete, and become idle."""
+        self._unread += data
+        reply = parse_reply(self._unread)
+        if reply is None or self.request is None:
+            return
+        request = self.request
+        self.request = None
+        self._unread = b""
+        self._target.idle_connections.append(self)
+        request.result.record(request, reply)
+
+    def connection_lost(self, exc: Exception | None) -> None:  # noqa: ARG002 - the protocol's signature
+        """Hand the open request back."""
+        request = self.request
+        self.request = None
+        self._transport = None
+        self._target.on_connection_lost(self, request, reply_begun=bool(self._unread))
+
+    def close(self) -> None:
+        """Abort the connection."""
+        if self._transport is not None:
+            self._transport.abort()
+
+
+class GatewayTarget:
+    """One gateway as its clients see it: its address and their connections."""
+
+    def __init__(self, index: int, port: int) -> None:
+        self.index = index
+        self.idle_connections: list[ClientConnection] = []
+        self._port = port
+        self._connections: set[ClientConnection] = set()
+        self._connect_tasks: set[asyncio.Task[None]] = set()
+
+    def send(self, request: LoadRequest) -> None:
+        """Send a request on an idle connection, or on a new one."""
+        if self.idle_connections:
+            self.idle_connections.pop().send(request)
+            return
+        task = asyncio.get_running_loop().create_task(self._connect_and_send(request))
+        self._connect_tasks.add(task)
+        task.add_done_callback(self._connect_tasks.discard)
+
+    async def _connect_and_send(self, request: LoadRequest) -> None:
+        connection = ClientConnection(self)
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(REQUEST_TIMEOUT_S):
+                await loop.create_connection(lambda: connection, LOOPBACK, self._port)
+        except OSError:  # time-outs are among these
+            request.result.record(request, None)
+            return
+        self._connections.add(connection)
+        connection.send(request)
+
+    def on_connection_lost(
+        self, connection: ClientConnection, request: LoadRequest | None, *, reply_begun: bool
+    ) -> None:
+        """Retry the request once, unless its reply had begun: a gateway may close an idle connection."""
+        self._connections.discard(connection)
+        if connection in self.idle_connections:
+            self.idle_connections.remove(connection)
+        if request is None:
+            return
+        if reply_begun or request.is_retry:
+            request.result.record(request, None)
+            return
+        request.is_retry = True
+        self.send(request)
+
+    def expire_requests(self, sent_before: float) -> None:
+        """Give up requests that were sent before a time and have no reply yet."""
+        for connection in list(self._connections):
+            request = connection.request
+            if request is not None and request.sent_at < sent_before:
+                connection.request = None
+                connection.close()
+                request.result.record(request, None)
+
+    def close(self) -> None:
+        """Abort all connections."""
+        for connection in list(self._connections):
+            connection.close()
+
+
+class LoadGenerator:
+    """The clients of one process, and how late it ran."""
+
+    def __init__(self) -> None:
+        self._targets: list[GatewayTarget] = []
+        self._request_ids = itertools.count(1)
+        self._lag = LagMeter()
+
+    async def connect(
+        self, gateways: list[list[int]], customers: int, fleet: int, spread: int, seed: int
+    ) -> None:
+        """Name the gateways, each by its index and port, and the customers of the fleet."""
+        self._targets = [GatewayTarget(index, port) for index, port in gateways]
+        self._customers = Customers(customers, fleet, spread, seed)
+
+    async def run(self, rate: float, seconds: float) -> dict[str, Any]:
+        """Send `rate` requests a second over all gateways, wait for the replies, and return the summary."""
+        result = LoadResult()
+        started_at = time.monotonic()
+        total = int(rate * seconds)
+        due = 0
+        while due < total:
+            now = time.monotonic()
+            while due < total and started_at + due / rate <= now:
+                self._send(self._targets[due % len(self._targets)], result)
+                due += 1
+            self._expire_requests(now - REQUEST_TIMEOUT_S)
+            await asyncio.sleep(SEND_INTERVAL_S)
+        give_up_at = time.monotonic() + REQUEST_TIMEOUT_S
+        while result.in_flight and time.monotonic() < give_up_at:
+            await asyncio.sleep(SEND_INTERVAL_S)
+        self._expire_requests(give_up_at)
+        return result.summary()
+
+    def _send(self, target: GatewayTarget, result: LoadResult) -> None:
+        if result.in_flight >= MAX_OPEN_REQUESTS:
+            result.unsent += 1
+            return
+        command = encode_command(*self._customers.request(target.index, next(self._request_ids)))
+        result.sent += 1
+        result.in_flight += 1
+        target.send(LoadRequest(command, result))
+
+    def _expire_requests(self, sent_before: float) -> None:
+        for target in self._targets:
+            target.expire_requests(sent_before)
+
+    async def begin(self) -> None:
+        """Count lateness from here on."""
+        self._lag.begin()
+
+    async def read(self) -> dict[str, Any]:
+        """Return how late this process ran in all that was measured."""
+        return {"lag": self._lag.read()}
+
+    def close(self) -> None:
+        """Abort all connections."""
+        self._lag.close()
+        for target in self._targets:
+            target.close()
--- a/scale/quickstart.py
+++ b/scale/quickstart.py
@@ -1,4 +1,4 @@
-"""The smallest run: a few real gateways on the stand-ins, under load for some seconds."""
+"""The smallest run: a few real gateways on fake services, under load for some seconds."""
 
 from __future__ import annotations
 
@@ -8,11 +8,16 @@
 from rich.console import Console
 
 from . import machine
-from .children import Children
-from .report import Result, show, table
-from .world import World
+from .environment import Environment
+from .result import Result
+from .supervisor import Supervisor, WorkerProcess
+from .tables import make_table, print_run
 
 LATENCY_MS = 5.0
+"""Of the fake backends."""
+
+REPLY_TIMEOUT_S = 60.0
+"""Over the time of the load itself, until the clients count as failed."""
 
 
 @dataclass(frozen=True)
@@ -29,46 +34,68 @@
     stall: float = 0.0
 
     def check(self) -> None:
-        """UsageProblem for sizes that this machine has no room for."""
-        a_gateway = machine.PROCESS_MB + machine.gateway_mb(self.backends, self.customers)
-        a_gateway += machine.reading_mb(self.backends)
-        others = machine.discovery_mb(self.backends, self.gateways) + machine.OTHERS * machine.PROCESS_MB
-        machine.check(self.gateways * a_gateway + others, self.gateways + machine.OTHERS)
+        """Check that this machine has room for these sizes.
+
+        Raises:
+            UsageError: it has not.
+        """
+        gateway_mb = machine.PROCESS_MB + machine.gateway_mb(self.backends, self.customers)
+        gateway_mb += machine.read_buffer_mb(self.backends)
+        support_mb = machine.discovery_mb(self.backends, self.gateways)
+        support_mb += machine.SUPPORT_PROCESSES * machine.PROCESS_MB
+        processes = self.gateways + machine.SUPPORT_PROCESSES
+        machine.check_capacity(self.gateways * gateway_mb + support_mb, processes)
 
     async def run(self, progress: Console) -> Result:
-        """Start all, send the requests and count. RunProblem where a process fails."""
-        result = Result.of("quickstart", self, [self.program])
-        async with Children() as children:
-            world = await World.start(children, self.backends, self.seed, LATENCY_MS, self.stall)
-            configs = [world.config(index, self.gateways) for index in range(self.gateways)]
-            gateways = await world.gateways(Path(self.program), configs)
-            await world.watched(self.gateways)
-            load = await children.start("load")
-            await load.call(
-                "connect",
-                gateways=[[index, told["port"]] for index, told in enumerate(gateways)],
-                customers=self.customers,
-                fleet=self.gateways,
-                spread=min(2, self.gateways),
+        """Start all, send the requests and count.
+
+        Raises:
+            RunError: a process failed.
+        """
+        result = Result.begin("quickstart", self, [self.program])
+        async with Supervisor() as supervisor:
+            environment = await Environment.start(
+                supervisor,
+                backends=self.backends,
                 seed=self.seed,
+                latency_ms=LATENCY_MS,
+                stall_ms=self.stall,
             )
+            load = await self._start_load(supervisor, environment)
             progress.print(f"all is up: {self.gateways} gateways, a list of {self.backends} backends")
-            await world.begin(load)
-            served = await load.call("run", rate=self.rate, seconds=self.seconds, within=self.seconds + 60)
-            counted = await world.read(result, "under load", load)
-        result.measured = {"requests": served, "counter_calls": counted["counter"]["calls"]}
+            await environment.begin(load)
+            timeout_s = self.seconds + REPLY_TIMEOUT_S
+            requests = await load.call("run", rate=self.rate, seconds=self.seconds, timeout_s=timeout_s)
+            counts = await environment.read(result, "under load", load)
+        result.measured = {"requests": requests, "counter_calls": counts["counter"]["calls"]}
         return result
 
+    async def _start_load(self, supervisor: Supervisor, environment: Environment) -> WorkerProcess:
+        configs = [environment.config(index, self.gateways) for index in range(self.gateways)]
+        gateways = await environment.launch_gateways(Path(self.program), configs)
+        await environment.wait_for_watches(self.gateways)
+        load = await supervisor.start("load")
+        await load.call(
+            "connect",
+            gateways=[[index, gateway["port"]] for index, gateway in enumerate(gateways)],
+            customers=self.customers,
+            fleet=self.gateways,
+            spread=min(2, self.gateways),
+            seed=self.seed,
+        )
+        return load
+
 
 def print_result(console: Console, result: Result) -> None:
-    asked, measured = result.asked, result.measured
-    requests = measured["requests"]
+    """Print what was served, rejected and failed, and how fast."""
+    asked = result.asked
+    requests = result.measured["requests"]
     rows = [(name, requests[name]) for name in ("sent", "served", "refused", "failed")]
     rows += [
-        (f"{name}, {percent} in 100", f"{requests[key][f'p{percent}_ms']:.2f} ms")
-        for name, key in (("latency", "latency"), ("added by the gateway", "added"))
+        (f"{title}, {percent} in 100", f"{requests[key][f'p{percent}_ms']:.2f} ms")
+        for title, key in (("latency", "latency"), ("added by the gateway", "added"))
         for percent in (50, 99)
     ]
-    rows.append(("calls at the counter", measured["counter_calls"]))
+    rows.append(("calls at the counter", result.measured["counter_calls"]))
     title = f"{asked['gateways']} gateways, {asked['customers']} customers, {asked['seconds']:g} s"
-    show(console, result, table(title, ["requests", ""], rows))
+    print_run(console, result, make_table(title, ["requests", ""], rows))
--- a/scale/resp.py
+++ b/scale/resp.py
@@ -1,56 +1,69 @@
-"""RESP2 as far as the stand-ins and clients speak it. The peers are the program's own: little is checked."""
+"""RESP2 as far as the fakes and the load generator speak it.
+
+The peers are the program's own, so little is checked.
+"""
 
 from __future__ import annotations
 
+CRLF = b"\r\n"
+
 
-def encode(*args: bytes) -> bytes:
-    """A command: an array of bulk strings."""
-    return b"*%d\r\n" % len(args) + b"".join(b"$%d\r\n%b\r\n" % (len(arg), arg) for arg in args)
+def encode_command(*arguments: bytes) -> bytes:
+    """Return a command: an array of bulk strings."""
+    bulk_strings = (b"$%d\r\n%b\r\n" % (len(argument), argument) for argument in arguments)
+    return b"*%d\r\n" % len(arguments) + b"".join(bulk_strings)
 
 
-class CommandCutter:
-    """Cuts bytes into commands."""
+class CommandReader:
+    """Splits a stream of bytes into commands."""
 
     def __init__(self) -> None:
-        self.rest = b""
+        self._unread = b""
 
-    def cut(self, data: bytes) -> list[list[bytes]]:
-        """The commands that are whole with these bytes."""
-        self.rest += data
+    def feed(self, data: bytes) -> list[list[bytes]]:
+        """Return the commands that are complete with these bytes."""
+        self._unread += data
         commands = []
-        while (got := cut_command(self.rest)) is not None:
-            command, end = got
+        while (parsed := parse_command(self._unread)) is not None:
+            command, end = parsed
             commands.append(command)
-            self.rest = self.rest[end:]
+            self._unread = self._unread[end:]
         return commands
 
 
-def cut_command(data: bytes) -> tuple[list[bytes], int] | None:
-    """The first command and where it ends; None while it is not whole. ValueError for anything else."""
-    head = data.find(b"\r\n")
-    if head < 0:
+def parse_command(data: bytes) -> tuple[list[bytes], int] | None:
+    """Return the first command and where it ends, or None while it is incomplete.
+
+    Raises:
+        ValueError: the data is no command.
+    """
+    head_end = data.find(CRLF)
+    if head_end < 0:
         return None
     if not data.startswith(b"*"):
         raise ValueError("not a command")
-    args, at = [], head + 2
-    for _ in range(int(data[1:head])):
-        end = data.find(b"\r\n", at)
-        if end < 0:
+    arguments = []
+    position = head_end + len(CRLF)
+    for _ in range(int(data[1:head_end])):
+        size_end = data.find(CRLF, position)
+        if size_end < 0:
             return None
-        size = int(data[at + 1 : end])
-        at = end + 2 + size + 2
-        if len(data) < at:
+        start = size_end + len(CRLF)
+        end = start + int(data[position + 1 : size_end])
+        position = end + len(CRLF)
+        if len(data) < position:
             return None
-        args.append(data[end + 2 : at - 2])
-    return args, at
+        arguments.append(data[start:end])
+    return arguments, position
 
 
-def cut_answer(data: bytes) -> bytes | None:
-    """A gateway's answer once it is whole: an error line with its sign, or `$` and the value."""
-    end = data.find(b"\r\n")
-    if end < 0:
+def parse_reply(data: bytes) -> bytes | None:
+    """Return a gateway's reply once it is complete: an error line with its sign, or `$` and the value."""
+    head_end = data.find(CRLF)
+    if head_end < 0:
         return None
     if not data.startswith(b"$"):
-        return data[:end]
-    size = int(data[1:end])
-    return b"$" + data[end + 2 : end + 2 + size] if len(data) >= end + 2 + size + 2 else None
+        return data[:head_end]
+    start = head_end + len(CRLF)
+    end = start + int(data[1:head_end])
+    return b"$" + data[start:end] if len(data) >= end + len(CRLF) else None
--- a/tests/scale/test_scale.py
+++ b/tests/scale/test_scale.py
@@ -18,9 +18,9 @@
 import psutil
 import pytest
 
-from scale.catalog import Catalog
-from scale.report import Goal, Result
-from scale.settings import Customers
+from scale.customers import Customers
+from scale.fakes.endpoint_list import SyntheticEndpointList
+from scale.result import Goal, Result
 
 ROOT = Path(__file__).parents[2]
 FLEET = (
@@ -196,7 +196,7 @@
 ) -> str | None:
     result = Result("control", {}, {})
     result.goals["."] = [Goal("one change", "ms", 0.1, measured, cut), Goal("a list", "ms", 5.0, None)]
-    result.late("discovery", {"p99_ms": p99_ms, "max_ms": max_ms})
+    result.note_lag("discovery", {"p99_ms": p99_ms, "max_ms": max_ms})
     assert (result.verdict() is None) == bool(result.why_no_verdict())
     return result.verdict()
 
@@ -208,22 +208,37 @@
     assert verdict(0.05, p99_ms=20.1) is None and verdict(0.05, max_ms=251.0) is None
 
 
-def test_each_host_changes_once_before_any_changes_again() -> None:
-    catalog = Catalog(10, [1], seed=1)
-    line, hosts = catalog.change(100)
-    told = json.loads(line)
-    assert [host["host"] for host in told["hosts"]] == hosts and len(set(hosts)) == 9
-    assert told["seq"] == 2 and not told["whole"]
-    assert {host["health"] for host in told["hosts"]} == {"draining"}
-    catalog.change(9)
-    assert len(json.loads(catalog.whole())["hosts"]) == 1  # the others are removed, and not listed
-    _, (marker,) = catalog.change_marker()
-    assert marker not in hosts
+def test_each_backend_changes_once_before_any_changes_again() -> None:
+    endpoints = SyntheticEndpointList(10, [1], seed=1)
+
+    first = endpoints.change(100)
+    endpoints.change(9)
+    marker = endpoints.change_marker()
+
+    event = json.loads(first.line)
+    assert [entry["host"] for entry in event["hosts"]] == first.hosts
+    assert len(set(first.hosts)) == 9
+    assert event["seq"] == 2
+    assert not event["whole"]
+    assert {entry["health"] for entry in event["hosts"]} == {"draining"}
+    assert marker.hosts == [endpoints.marker_host]
+    assert endpoints.marker_host not in first.hosts
+
+
+def test_a_snapshot_leaves_removed_backends_out() -> None:
+    endpoints = SyntheticEndpointList(10, [1], seed=1)
+
+    endpoints.change(9)
+    endpoints.change(9)
+
+    (entry,) = json.loads(endpoints.snapshot())["hosts"]
+    assert entry["host"] == endpoints.marker_host
 
 
 def test_customers_come_to_gateways_of_their_sets_only() -> None:
     customers = Customers(1_000, gateways=10, spread=3, seed=1)
     for gateway in range(10):
         picked = {customers.pick(gateway) for _ in range(2_000)}
-        assert all((gateway - first) % 10 < 3 and number % 10 == first for number, first in picked)
+        assert all((gateway - first) % 10 < 3 for _, first in picked)
+        assert all(number % 10 == first for number, first in picked)
         assert len(picked) == pytest.approx(300, abs=5)
