Split the slopes into a module for each thing they measure

benchmarks/slopes.py was one file of 460 lines with its own settings, list entries and tables, and reached into the policy in many places.

The scenarios are modules of benchmarks/capacity_slopes; settings come from the same settings document, and list entries from the same fake discovery, as those of the scale runs. The command and its scenarios' names stay.

--- /dev/null
+++ b/benchmarks/capacity_slopes/backend_choice.py
@@ -0,0 +1,83 @@
+"""Scenario `pick`: a choice of a backend, and a request with all its events, by the size of the subset."""
+
+from __future__ import annotations
+
+import random
+from collections import deque
+from functools import partial
+
+from gateway.policy.actions import StartAttempt
+from gateway.policy.events import AttemptEnded, Event, Outcome, RequestArrived
+
+from .measurement import min_cpu_us
+from .policies import DEADLINE_MS, REQUEST_CLASS, START_MS, make_policy, make_settings
+from .policy_internals import choose_backends
+from .tables import print_header, print_row
+
+SUBSET_SIZES = (8, 12, 38, 76, 152)
+FAILURE_RATES = (0.0, 0.05)
+
+REQUEST_RATE = 270
+"""Requests a second of one gateway, in virtual time."""
+
+IN_FLIGHT = 20
+"""Attempts that are in flight at once."""
+
+ATTEMPT_MS = 75.0
+
+WARM_UP_REQUESTS = 2_000
+TIMED_REQUESTS = 1_000
+
+
+OpenAttempt = tuple[str, int, int]
+"""Request, number and backend of an attempt in flight; a bare tuple, as its making is measured too."""
+
+
+class BusyGateway:
+    """A gateway under load, whose subset is all that its list holds."""
+
+    def __init__(self, backends: int, failure_rate: float) -> None:
+        self.policy = make_policy(make_settings(), backends=backends)
+        self._now = START_MS
+        self._open_attempts: deque[OpenAttempt] = deque()
+        self._failure_rate = failure_rate
+        self._rng = random.Random(1)
+
+    def serve(self, requests: int) -> None:
+        """Send so many requests, and end the oldest attempts of those over what is in flight."""
+        for _ in range(requests):
+            self._now += 1000 / REQUEST_RATE
+            request_id = f"{int(self._now * 10):016x}"
+            # Events are made here: a builder's call would be measured as well.
+            arrived = RequestArrived(
+                request_id, REQUEST_CLASS, "free", "c", self._now + DEADLINE_MS, 1.0, 1, 0
+            )
+            self._deliver(arrived, 0)
+            while len(self._open_attempts) > IN_FLIGHT:
+                oldest_id, number, backend_id = self._open_attempts.popleft()
+                is_ok = self._rng.random() >= self._failure_rate
+                outcome = Outcome.OK if is_ok else Outcome.FAILED
+                ended = AttemptEnded(oldest_id, number, backend_id, outcome, ATTEMPT_MS, is_ok)
+                self._deliver(ended, number + 1)
+
+    def _deliver(self, event: Event, attempt_number: int) -> None:
+        for action in self.policy.handle(self._now, event):
+            if isinstance(action, StartAttempt):
+                self._open_attempts.append((action.request_id, attempt_number, action.backend_id))
+
+    def choose(self, count: int) -> None:
+        """Choose a backend so many times."""
+        choose_backends(self.policy, self._now, count)
+
+
+def run() -> None:
+    """Print a row for each size of the subset and rate of failures."""
+    print("A choice and a request, by the backends in a gateway's slice; 20 requests are out")
+    print_header("backends in the slice", "attempts that fail", "us a choice", "us a request")
+    for size in SUBSET_SIZES:
+        for failure_rate in FAILURE_RATES:
+            gateway = BusyGateway(size, failure_rate)
+            gateway.serve(WARM_UP_REQUESTS)
+            request_us = min_cpu_us(partial(gateway.serve, TIMED_REQUESTS)) / TIMED_REQUESTS
+            choice_us = min_cpu_us(partial(gateway.choose, TIMED_REQUESTS)) / TIMED_REQUESTS
+            print_row(size, failure_rate, choice_us, request_us)
--- /dev/null
+++ b/benchmarks/capacity_slopes/backend_statistics.py
@@ -0,0 +1,63 @@
+"""Scenario `marks`: what a policy keeps of one backend, where classes are as many as routes."""
+
+from __future__ import annotations
+
+import json
+from functools import partial
+from typing import Any
+
+from gateway.policy.actions import StartAttempt
+from gateway.policy.policy import GatewayPolicy
+from gateway.settings_document import parse_settings
+
+from .measurement import retained_bytes
+from .policies import START_MS, arrival, make_policy, make_settings, success
+from .tables import print_header, print_row
+
+CLASS_COUNTS = (10, 1_000, 75_000)
+SERVICE_TIME_MS = 5.0
+
+
+def run() -> None:
+    """Print a row for each number of classes."""
+    print("Marks of one backend, by the number of classes and plans that it was met with")
+    print_header(
+        "classes", "bytes", "bytes a mark", "bytes a class in memory", "bytes a class in the configuration"
+    )
+    for count in CLASS_COUNTS:
+        document: dict[str, Any] = {"classes": [class_entry(number) for number in range(count)]}
+        size = retained_bytes(partial(policy_after_requests, count))
+        configured_size = retained_bytes(partial(configured_policy, document))
+        print_row(count, size, size // count, configured_size // count, len(json.dumps(document)) // count)
+
+
+def policy_after_requests(class_count: int) -> GatewayPolicy:
+    """Return a policy whose one backend has served a request of each class."""
+    policy = make_policy(make_settings(), backends=1)
+    for number in range(class_count):
+        now = START_MS + number
+        for action in policy.handle(now, arrival(now, request_class=f"route-{number}")):
+            if isinstance(action, StartAttempt):
+                ended = success(action.backend_id, duration_ms=SERVICE_TIME_MS)
+                policy.handle(now + 0.5, ended)
+    return policy
+
+
+def configured_policy(document: dict[str, Any]) -> GatewayPolicy:
+    """Return a policy with the settings of a document."""
+    return GatewayPolicy(parse_settings(document), 1)
+
+
+def class_entry(number: int) -> dict[str, Any]:
+    """Return a class as the settings name it."""
+    return {
+        "aim": 750.0,
+        "deadline": 2500.0,
+        "effect": "pure",
+        "group": "all",
+        "importance": 2.0,
+        "lateWorth": 0.2,
+        "name": f"route-{number}",
+        "repeatWindow": 5000.0,
+        "stream": False,
+    }
--- /dev/null
+++ b/benchmarks/capacity_slopes/virtual_fleet.py
@@ -0,0 +1,98 @@
+"""Gateways in virtual time, with a counter that answers each call and backends that serve all."""
+
+from __future__ import annotations
+
+import heapq
+import random
+from collections import Counter
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+from gateway.policy.actions import IncrementCounter, SetTimer, StartAttempt
+from gateway.policy.events import CounterResponse, Event, Outcome, TimerFired
+
+from .policies import SERVICE_TIME_MS, START_MS, arrival, make_policy, make_settings, success
+
+COUNTER_ONE_WAY_MS = 1.0
+"""On the way to the counter, and again back."""
+
+BACKENDS = 8
+
+
+class VirtualFleet:
+    """Gateways, their customers and their counter, driven by one queue of callbacks."""
+
+    def __init__(self, gateways: int, plan: dict[str, Any], seed: int = 1) -> None:
+        """`plan` is the one of all customers, in the settings' form."""
+        self.now = START_MS
+        self.is_counter_up = True
+        self.counts: Counter[str] = Counter()
+        self._rng = random.Random(seed)
+        self._plan_name = str(plan["name"])
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._last_serial = 0
+        self._totals: dict[str, float] = {}
+        self.policies = [
+            make_policy(
+                make_settings(plan, index=index, gateways=gateways, counter_available=True),
+                backends=BACKENDS,
+                seed=seed + index,
+            )
+            for index in range(gateways)
+        ]
+
+    def run(self, seconds: float) -> None:
+        """Let so much time pass."""
+        end = self.now + seconds * 1000
+        while self._queue and self._queue[0][0] <= end:
+            self.now, _, callback = heapq.heappop(self._queue)
+            callback()
+        self.now = end
+
+    def add_customer(self, name: str, rate: float, gateways: list[int]) -> None:
+        """Add a customer that sends `rate` requests a second, to any of its gateways, from now on."""
+        send = partial(self._send_request, name, rate, gateways)
+        self._call_later(self._rng.expovariate(rate) * 1000, send)
+
+    def _send_request(self, customer: str, rate: float, gateways: list[int]) -> None:
+        send_next = partial(self._send_request, customer, rate, gateways)
+        self._call_later(self._rng.expovariate(rate) * 1000, send_next)
+        self._last_serial += 1
+        self.counts["requests"] += 1
+        event = arrival(
+            self.now,
+            request_id=f"{self._last_serial:016x}",
+            plan=self._plan_name,
+            customer=customer,
+            set_size=len(gateways),
+            set_start=gateways[0],
+        )
+        self._deliver(self._rng.choice(gateways), event)
+
+    def _call_later(self, delay_ms: float, callback: Callable[[], None]) -> None:
+        self._last_serial += 1
+        heapq.heappush(self._queue, (self.now + delay_ms, self._last_serial, callback))
+
+    def _deliver(self, index: int, event: Event) -> None:
+        for action in self.policies[index].handle(self.now, event):
+            match action:
+                case SetTimer(delay_ms, token):
+                    self._call_later(delay_ms, partial(self._deliver, index, TimerFired(token)))
+                case IncrementCounter(name, amount, expire_in_ms):
+                    reply = self._increment(name, amount, expire_in_ms)
+                    self._call_later(2 * COUNTER_ONE_WAY_MS, partial(self._deliver, index, reply))
+                case StartAttempt(request_id, backend_id):
+                    self.counts["forwarded"] += 1
+                    ended = success(backend_id, request_id=request_id)
+                    self._call_later(SERVICE_TIME_MS, partial(self._deliver, index, ended))
+
+    def _increment(self, name: str, amount: float, expire_in_ms: float) -> CounterResponse:
+        self.counts["counter calls"] += 1
+        if not self.is_counter_up:
+            return CounterResponse(name, Outcome.CONNECT_ERROR, 0.0)
+        total = self._totals[name] = self._totals.get(name, 0.0) + amount
+        call = f"tally {name} {amount:.6f} {int(expire_in_ms)}\r\n"
+        reply = f"ok {total:.7g}\r\n"
+        self.counts["counter bytes"] += len(call) + len(reply)
+        return CounterResponse(name, Outcome.OK, total)
--- a/tests/scale/test_slopes.py
+++ b/tests/scale/test_slopes.py
@@ -1,55 +1,74 @@
-"""The probes behind docs/CAPACITY.md measure what they say."""
+"""The scenarios behind docs/CAPACITY.md measure what they say."""
 
 from __future__ import annotations
 
-import importlib.util
 import sys
-from pathlib import Path
 
 import pytest
+import slopes
+from capacity_slopes.backend_choice import BusyGateway
+from capacity_slopes.known_customers import KnownCustomers
+from capacity_slopes.policies import metered_plan
+from capacity_slopes.policy_internals import (
+    known_customers,
+    open_attempts,
+    open_requests,
+    pending_counter_calls,
+    subset_size,
+)
+from capacity_slopes.virtual_fleet import VirtualFleet
 
-from gateway.policy.settings import Plan
 
-SPEC = importlib.util.spec_from_file_location(
-    "slopes", Path(__file__).parents[2] / "benchmarks" / "slopes.py"
-)
-assert SPEC is not None and SPEC.loader is not None
-slopes = importlib.util.module_from_spec(SPEC)
-SPEC.loader.exec_module(slopes)
+@pytest.fixture
+def thinly_spread_counts() -> dict[str, int]:
+    """Counts of a customer of 30 gateways that asks for four times its quota, for 30 s."""
+    fleet = VirtualFleet(30, metered_plan(rate=2.0, burst=4.0))
+    fleet.add_customer("0123456789abcdef", 8.0, list(range(30)))
+    fleet.run(30)
+    return fleet.counts
+
+
+def test_a_thinly_spread_customer_costs_a_counter_call_for_each_request(
+    thinly_spread_counts: dict[str, int],
+) -> None:
+    assert thinly_spread_counts["counter calls"] > thinly_spread_counts["requests"] > 150
+
+
+def test_no_more_of_a_thinly_spread_customer_is_forwarded_than_its_quota(
+    thinly_spread_counts: dict[str, int],
+) -> None:
+    assert thinly_spread_counts["forwarded"] <= 2.0 * 30 + 4.0
 
 
-def test_a_customer_spread_thin_costs_a_call_for_each_request_and_more_is_not_sent_on_than_its_quota() -> (
-    None
-):
-    loop = slopes.Loop(30, Plan("plan", rate=2.0, burst=4.0, over_quota_cost=1.0))
-    loop.customer("0123456789abcdef", 8.0, list(range(30)))
-    loop.play(30)
-    assert loop.seen["calls"] > loop.seen["asked"] > 150
-    assert loop.seen["sent"] <= 2.0 * 30 + 4.0
-    assert 60 < loop.seen["bytes"] / loop.seen["calls"] < 90
+def test_a_counter_call_takes_some_75_bytes(thinly_spread_counts: dict[str, int]) -> None:
+    assert 60 < thinly_spread_counts["counter bytes"] / thinly_spread_counts["counter calls"] < 90
 
 
 def test_all_known_customers_are_served_and_kept() -> None:
-    known = slopes.Customers(50, 2, 12, True)
-    known.ask(range(50))
-    known.forget()
-    assert len(known.gateway.customers) == 51  # with the one that asks last
-    assert not known.gateway.requests and not known.gateway.calls
+    known = KnownCustomers(50, burst=2, spread=12, counter_available=True)
 
+    known.send_requests(range(50))
+    known.search_idle()
 
-def test_a_choice_is_made_among_the_whole_slice() -> None:
-    busy = slopes.Busy(12, failing=0.2)
-    busy.serve(400)
-    busy.choose(3)
-    assert len(busy.gateway.subset) == 12
-    assert len(busy.gateway.attempts) == 20
+    assert known_customers(known.policy) == 51  # with the one that asks last
+    assert open_requests(known.policy) == 0
+    assert pending_counter_calls(known.policy) == 0
 
 
-def test_each_probe_is_a_command(monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]) -> None:
+def test_a_choice_is_made_among_the_whole_subset() -> None:
+    gateway = BusyGateway(12, failure_rate=0.2)
+
+    gateway.serve(400)
+    gateway.choose(3)
+
+    assert subset_size(gateway.policy) == 12
+    assert open_attempts(gateway.policy) == 20
+
+
+def test_a_scenario_is_a_command(monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]) -> None:
     monkeypatch.setattr(sys, "argv", ["slopes.py", "starts"])
+
     slopes.main()
-    assert [line.split(" | ")[0] for line in capsys.readouterr().out.splitlines()[3:]] == [
-        "| 40",
-        "| 200",
-        "| 3700",
-    ]
+
+    rows = capsys.readouterr().out.splitlines()[3:]
+    assert [row.split(" | ")[0] for row in rows] == ["| 40", "| 200", "| 3700"]
