--- /dev/null
+++ b/benchmarks/capacity_slopes/policy_internals.py
@@ -0,0 +1,56 @@
+"""What the scenarios and their tests read and change inside a policy, in one place."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from gateway.policy.policy import GatewayPolicy
+
+
+def postpone_cleanup(policy: GatewayPolicy, now: float) -> None:
+    """Let the policy take idle customers as searched for just now."""
+    policy.leases.swept_at = now
+
+
+def make_cleanup_due(policy: GatewayPolicy) -> None:
+    """Let the next arrival search for idle customers."""
+    policy.leases.swept_at = 0.0
+
+
+def known_customers(policy: GatewayPolicy) -> int:
+    """Return how many customers the policy keeps."""
+    return len(policy.leases.by_customer)
+
+
+def unreported_usage(policies: Iterable[GatewayPolicy]) -> float:
+    """Return the units that were spent and not yet added to the counter."""
+    return sum(lease.unreported_usage for policy in policies for lease in policy.leases.by_customer.values())
+
+
+def open_requests(policy: GatewayPolicy) -> int:
+    """Return how many requests wait for their end."""
+    return len(policy.requests)
+
+
+def pending_counter_calls(policy: GatewayPolicy) -> int:
+    """Return under how many names calls to the counter are in flight."""
+    return len(policy.usage.calls)
+
+
+def subset_size(policy: GatewayPolicy) -> int:
+    """Return how many backends the policy chooses from."""
+    return len(policy.subset)
+
+
+def open_attempts(policy: GatewayPolicy) -> int:
+    """Return how many attempts are in flight."""
+    return len(policy.retries.attempts)
+
+
+def choose_backends(policy: GatewayPolicy, now: float, count: int) -> None:
+    """Choose a backend so many times, as for a request that has not been forwarded anywhere."""
+    request = next(iter(policy.requests.values()))
+    request.tried_backend_ids = set()
+    request.possibly_run = []
+    for _ in range(count):
+        policy.balancer.pick(now, request)
--- a/tests/support/loopback.py
+++ b/tests/support/loopback.py
@@ -182,7 +182,8 @@
         while line := await reader.readline():
             assert line.endswith(b"\r\n")
             words = line.split()
-            assert words[0] == b"tally" and len(words) == 4
+            assert words[0] == b"tally"
+            assert len(words) == 4
             self.got.append(words)
             self.totals[words[1]] = self.totals.get(words[1], 0.0) + float(words[2])
             reply: Reply = b"ok %.3f\r\n" % self.totals[words[1]]
@@ -381,7 +382,7 @@
             await task
 
 
-def request(
+def request(  # noqa: PLR0913 - each names an attribute of a request, and a test gives the one it is about
     id: bytes = b"9b1f03aa5c7e2d41",
     name: bytes = b"view",
     plan: bytes = b"free",
