--- a/gateway/network/backend_pool.py
+++ b/gateway/network/backend_pool.py
@@ -32,7 +32,7 @@
 
 
 class BackendPool:
-    """Connections to backends, by endpoint. Decides nothing: it sends as told, or reports why not."""
+    """Connections to backends, by endpoint. Decides nothing: it sends as asked, or reports why not."""
 
     def __init__(  # noqa: PLR0913 - each is a setting of the deployment, named by its keyword
         self,
--- a/gateway/network/counter_client.py
+++ b/gateway/network/counter_client.py
@@ -59,7 +59,7 @@
     ) -> None:
         """Add to the total of a name, which expires after `expires_in_ms`; 0 reads it.
 
-        The callback is told TIMED_OUT where the amount may have been added, CONNECT_ERROR and QUEUE_FULL
+        The callback gets TIMED_OUT where the amount may have been added, CONNECT_ERROR and QUEUE_FULL
         where it was not.
         """
         encoded_name = name.encode()
--- a/gateway/network/dispatcher.py
+++ b/gateway/network/dispatcher.py
@@ -108,7 +108,7 @@
         self.attempts: dict[tuple[str, int], BackendAttempt] = {}
         """Attempts in flight by request id and number, also those of requests that have their reply."""
         self.disconnected_requests: dict[str, OpenRequest] = {}
-        """Requests whose clients have disconnected, which the policy has not been told yet."""
+        """Requests whose clients have disconnected, which the policy has not been notified of yet."""
         self.pending_events: deque[Event] = deque()
         self.is_handling = False
         self.is_stopping = False
--- a/gateway/policy/settings.py
+++ b/gateway/policy/settings.py
@@ -79,7 +79,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Settings:
-    """Everything that the policy of one gateway is told at its start."""
+    """Everything that the policy of one gateway is given at its start."""
 
     gateway_index: int
     gateway_count: int
