--- a/gateway/policy/backend_table.py
+++ b/gateway/policy/backend_table.py
@@ -30,12 +30,7 @@
             elif backend := self.known.get(entry.backend_id):
                 backend.update(entry)
         if update.kind is not UpdateKind.DELTA and update.is_last:
-            self.known = {i: b for i, b in self.known.items() if i in self.endpoints}
-
-    @property
-    def is_rebuilding(self) -> bool:
-        """Whether a long list is being ordered, in steps."""
-        return self.endpoints.is_rebuilding
+            self.known = {i: b for i, b in self.known.items() if i in self.endpoints.records}
 
     def remember(self, backend: Backend) -> None:
         """Keep the scores of a backend that is used, also of one outside the subset."""
--- a/gateway/policy/endpoint_records.py
+++ b/gateway/policy/endpoint_records.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import struct
+from dataclasses import dataclass, field
 
 from .events import Endpoint, EndpointState
 
@@ -20,6 +21,14 @@
 READY_BYTE = -1  # 1 if ready, 0 if draining
 
 
+@dataclass(slots=True)
+class PendingSnapshot:
+    """The parts of a snapshot that have come; it is in force with the last one."""
+
+    records: dict[int, Record] = field(default_factory=dict)
+    new_backend_ids: list[int] = field(default_factory=list)  # those not listed before
+
+
 class RecordCodec:
     """Packs endpoints into records and unpacks them; numbers the zones and the backends as they are met."""
 
--- a/gateway/policy/events.py
+++ b/gateway/policy/events.py
@@ -48,6 +48,10 @@
     """The host did not carry out the action."""
 
 
+NOT_PROCESSED = (Outcome.QUEUE_FULL, Outcome.CONNECT_ERROR, Outcome.NOT_STARTED)
+"""The outcomes of attempts and calls that surely have not been processed."""
+
+
 class Endpoint(NamedTuple):
     """One backend of the endpoint list."""
 
--- a/gateway/policy/leases.py
+++ b/gateway/policy/leases.py
@@ -1,13 +1,10 @@
-"""Leases: what each customer may use at this gateway, spent locally.
-
-Times are milliseconds on the policy's clock, tokens are cost units.
-"""
+"""Leases: what each customer may use at this gateway, in cost units; times are milliseconds."""
 
 import math
 
 from .events import RequestArrived
-from .settings import Plan
-from .shared_bucket import SharedTokenBucket
+from .settings import Plan, Settings
+from .shared_bucket import SharedTokenBucket, counter_key
 
 LEASE_MS = 15_000.0  # how long a lease lasts unless it is renewed; the design's figure
 REFRESH_INTERVAL_MS = 500.0  # least time between refreshes: shares follow a shift, calls stay under requests
@@ -28,6 +25,7 @@
         self, event: RequestArrived, plan: Plan, largest_cost: float, age_ms: float, now: float
     ) -> None:
         self.key = event.customer
+        self.counter_key = counter_key(self.key)
         self.plan = plan
         self.largest_cost = largest_cost
         self.fair_share = 1 / max(1, event.gateway_set_size)
@@ -70,15 +68,10 @@
             self.tokens -= cost
         self.hard_limit_tokens -= cost
 
-    def mark_refreshed(self, now: float) -> None:
-        """Ask for no refresh for a while."""
-        self.fresh_until = now + REFRESH_INTERVAL_MS
-
     def resize(self, now: float, period: int, amount: float, total: float) -> None:
         """Size a lease that is spent locally by a period's total, to which this gateway added an amount.
 
-        The total holds what was asked for in the period, and what the period before owed. The local bucket
-        holds this gateway's share of what is left of it.
+        The total holds the units asked for and those owed; the local bucket gets a share of what is left.
         """
         before = self.last_total
         is_same_period = period == self.last_period
@@ -123,3 +116,34 @@
         self.expires_at = now + LEASE_MS
         self.last_period = period
         self.last_total = total
+
+
+class LeaseTable:
+    """The leases of the customers that this gateway has lately met."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.plans = {plan.name: plan for plan in settings.plans}
+        self.by_customer: dict[str, Lease] = {}
+        self.started_at = self.swept_at = 0.0
+
+    def start(self, now: float) -> None:
+        """Begin with the first event."""
+        self.started_at = self.swept_at = now
+
+    def lease_for(self, now: float, event: RequestArrived) -> Lease:
+        """The lease of a request's customer, refilled, or a new one."""
+        if now - self.swept_at > LEASE_MS:
+            self._forget_idle(now)
+        lease = self.by_customer.get(event.customer)
+        if lease is None:
+            plan = self.plans.get(event.plan) or Plan(event.plan)  # an unknown plan has no quota to keep
+            lease = Lease(event, plan, self.settings.max_request_cost, now - self.started_at, now)
+            self.by_customer[event.customer] = lease
+        lease.refill(now)
+        return lease
+
+    def _forget_idle(self, now: float) -> None:
+        kept = [c for c in self.by_customer.values() if c.in_flight or now - c.refilled_at <= c.retention_ms]
+        self.by_customer = {lease.key: lease for lease in kept}
+        self.swept_at = now
--- a/gateway/policy/load_balancing.py
+++ b/gateway/policy/load_balancing.py
@@ -80,5 +80,4 @@
         if request.possibly_run and has_key and request_class.deduplication_scope is DeduplicationScope.CELL:
             first = request.possibly_run[0].backend
             cell = (first.zone, first.cell)
-        found = self.backends.sample_outside(self.rng, cell)
-        return [b for b in found if request.may_run_on(now, b)]
+        return [b for b in self.backends.sample_outside(self.rng, cell) if request.may_run_on(now, b)]
--- a/gateway/policy/outlier_detection.py
+++ b/gateway/policy/outlier_detection.py
@@ -59,8 +59,7 @@
             self._record_latency(now, attempt.backend, latency_ms, is_given_up=is_given_up)
             self.stats.record(now, latency_ms, outcome)
         if is_overdue or not is_given_up:  # a client that left early says nothing of the backend
-            is_failure = outcome not in (Outcome.OK, Outcome.NOT_STARTED)
-            self._record_failure(now, attempt, is_failure=is_failure)
+            self._record_failure(now, attempt, is_failure=outcome not in (Outcome.OK, Outcome.NOT_STARTED))
 
     def _record_latency(self, now: float, backend: Backend, latency_ms: float, *, is_given_up: bool) -> None:
         score = backend.scores.excess_latency
--- a/gateway/policy/policy.py
+++ b/gateway/policy/policy.py
@@ -1,7 +1,6 @@
 """Every decision of one gateway: hands each event to the parts that decide, and joins what they say.
 
-Its settings, events and actions: see gateway/policy/events.py. A gateway knows its settings, its seed, the
-`now` it is handed (milliseconds) and its own events; nothing else.
+It knows its settings, seed, `now` (milliseconds) and events (gateway/policy/events.py); nothing else.
 """
 
 import random
@@ -14,10 +13,10 @@
 from .backend_table import BackendTable
 from .backends import Backend
 from .counter_calls import CounterReply
-from .lease_table import LeaseTable
+from .leases import LeaseTable
 from .load_balancing import LoadBalancer
 from .outlier_detection import OutlierDetector
-from .requests import FINISH_MARGIN_MS, NOT_PROCESSED, PendingRequest
+from .requests import FINISH_MARGIN_MS, PendingRequest
 from .response_stats import ResponseStats
 from .retries import RetryController
 from .settings import RequestClass, Settings
@@ -32,8 +31,7 @@
 
     def __init__(self, settings: Settings, seed: int) -> None:
         rng = random.Random(seed)
-        self.polls_endpoints = settings.polls_endpoints
-        self.watch_retry_ms = settings.safety_rules.drain_grace_ms
+        self.settings = settings
         self.request_classes = {c.name: c for c in settings.request_classes}
         self.requests: dict[str, PendingRequest] = {}
         self.leases = LeaseTable(settings)
@@ -66,10 +64,9 @@
             self.has_started = True
             self.leases.start(now)
             self.stats.responded_at = now
-            if self.polls_endpoints:
+            if self.settings.polls_endpoints:
                 out.append(WatchEndpoints())
-        handler = self.handlers.get(type(event))
-        if handler is not None:
+        if handler := self.handlers.get(type(event)):
             handler(now, event, out)
         return out
 
@@ -91,8 +88,7 @@
         self._admit(now, request, out)
 
     def _on_client_disconnected(self, _now: float, event: events.ClientDisconnected, out: Actions) -> None:
-        request = self.requests.pop(event.request_id, None)
-        if request is not None:
+        if request := self.requests.pop(event.request_id, None):
             self.usage.give_back(request, out)
 
     def _on_counter_response(self, now: float, event: events.CounterResponse, out: Actions) -> None:
@@ -111,15 +107,16 @@
 
     def _on_endpoint_update(self, _now: float, event: events.EndpointUpdate, out: Actions) -> None:
         if event.kind is events.UpdateKind.WATCH_FAILED:  # the last list stays in force
-            out.append(SetTimer(self.watch_retry_ms, TimerToken(TimerKind.WATCH_ENDPOINTS)))
+            retry_ms = self.settings.safety_rules.drain_grace_ms
+            out.append(SetTimer(retry_ms, TimerToken(TimerKind.WATCH_ENDPOINTS)))
             return
         self.backends.apply(event)
-        self.admission.set_backend_count(len(self.backends.endpoints))
+        self.admission.set_backend_count(len(self.backends.endpoints.records))
         self._schedule_rebuild(out)
 
     def _schedule_rebuild(self, out: Actions) -> None:
         """Let waiting events be handled before the next step of a long list's order."""
-        if self.backends.is_rebuilding and not self.has_rebuild_timer:
+        if self.backends.endpoints.is_rebuilding and not self.has_rebuild_timer:
             self.has_rebuild_timer = True
             out.append(SetTimer(0.0, TimerToken(TimerKind.BUILD_ORDER)))
 
@@ -130,8 +127,7 @@
             if request is not None and now >= request.check_at - TIMER_TOLERANCE_MS:
                 self._check_request(now, request, out)
         elif kind is TimerKind.USAGE_REPORT:
-            lease = self.leases.by_customer.get(subject)
-            if lease is not None:
+            if lease := self.leases.by_customer.get(subject):
                 self.usage.on_report_timer(now, lease, out)
         elif kind is TimerKind.BUILD_ORDER:
             self.has_rebuild_timer = False
@@ -157,7 +153,7 @@
             del self.requests[request.id]
             self.retries.cancel_all(request, out)
         elif not request.live_attempts:
-            price = 0.0 if event.outcome in NOT_PROCESSED else 1.0  # what never ran is not charged
+            price = 0.0 if event.outcome in events.NOT_PROCESSED else 1.0  # what never ran is not charged
             if not self.retries.retry(now, request, out, price):
                 self._finish(request, out)
 
--- a/gateway/policy/requests.py
+++ b/gateway/policy/requests.py
@@ -8,14 +8,11 @@
 
 from .actions import Actions, SetTimer
 from .backends import Backend
-from .events import Outcome
 from .leases import Lease
 from .settings import DeduplicationScope, Idempotency, RequestClass
 from .timers import TimerKind, TimerToken
 
 FINISH_MARGIN_MS = 50.0  # a request is finished this long before its deadline; small beside any objective
-# The outcomes of attempts and calls that surely have not been processed.
-NOT_PROCESSED = (Outcome.QUEUE_FULL, Outcome.CONNECT_ERROR, Outcome.NOT_STARTED)
 
 
 class Attempt(NamedTuple):
--- a/gateway/policy/retries.py
+++ b/gateway/policy/retries.py
@@ -6,10 +6,10 @@
 from .actions import Actions, CancelAttempt, StartAttempt
 from .backend_table import BackendTable
 from .backends import Backend
-from .events import AttemptEnded
+from .events import NOT_PROCESSED, AttemptEnded
 from .load_balancing import LoadBalancer
 from .outlier_detection import OutlierDetector
-from .requests import NOT_PROCESSED, Attempt, PendingRequest
+from .requests import Attempt, PendingRequest
 from .settings import Idempotency, Settings
 
 RETRIES_PER_REQUEST = 0.15  # that a request adds to the budget ...
--- a/gateway/policy/ring.py
+++ b/gateway/policy/ring.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import hashlib
+from dataclasses import dataclass
+from typing import NamedTuple
 
 from sortedcontainers import SortedList
 
@@ -12,6 +14,14 @@
 ID_SIZE = 8  # bytes of the backend id that ends it
 
 
+class Window(NamedTuple):
+    """A gateway's part of a ring: the round, and the positions from `start` to before `end`."""
+
+    round_number: int | None
+    start: int
+    end: int
+
+
 class Ring:
     """The ready backends in the permutation of one round, the same at all gateways.
 
@@ -71,3 +81,12 @@
             return record[SERIAL_BYTES] + id_bytes
         seed = f"{self.round_number}:{backend_id}".encode()
         return hashlib.blake2b(seed, digest_size=HASH_SIZE).digest() + id_bytes
+
+
+@dataclass(slots=True)
+class Rebuild:
+    """A ring in the making; changes that come meanwhile are made in it, not in the ring in force."""
+
+    ring: Ring
+    backend_ids: list[int]  # all that were listed at its start
+    done_count: int = 0
--- a/gateway/policy/shared_bucket.py
+++ b/gateway/policy/shared_bucket.py
@@ -1,8 +1,7 @@
 """A customer's token bucket that many gateways share, kept as one total on the counter service.
 
 The total of a period holds the units spent in it, and what the period before left owed. Time pays it back:
-what the bucket holds follows from the total and the time alone, so one call both spends and reads. Pure
-arithmetic; when to call and what to do with the response is decided in gateway/policy/usage_reporting.py.
+what the bucket holds follows from the total and the time alone, so one call both spends and reads.
 """
 
 import hashlib
@@ -12,11 +11,15 @@
 MEMORY_MS = 4 * PERIOD_MS  # a total's life, from its first call
 
 
+def counter_key(customer: str) -> str:
+    """The customer's part of the counter's names, the same at all gateways; customers' own may be long."""
+    return hashlib.blake2b(customer.encode(), digest_size=16).hexdigest()
+
+
 @dataclass(frozen=True, slots=True)
 class SharedTokenBucket:
     """The token bucket of one customer; `now` is milliseconds on the policy's clock."""
 
-    key: str  # of the customer on the counter
     offset: float  # of its periods: those of all customers together would end, and be carried over, at once
     rate: float  # units a second
     burst: float
@@ -24,13 +27,8 @@
     @classmethod
     def of(cls, customer: str, rate: float, burst: float) -> "SharedTokenBucket":
         """The bucket of a customer, the same at all gateways."""
-        digest = hashlib.blake2b(customer.encode(), digest_size=16)  # customers' names may be long
-        offset = int.from_bytes(digest.digest()[:4], "big") % int(PERIOD_MS)
-        return cls(digest.hexdigest(), float(offset), rate, burst)
-
-    def name(self, period: int) -> str:
-        """The counter's name of a period's total."""
-        return f"{period}:{self.key}"
+        offset = int(counter_key(customer)[:8], 16) % int(PERIOD_MS)
+        return cls(float(offset), rate, burst)
 
     def period(self, now: float) -> int:
         """The number of the present period."""
--- a/gateway/policy/subsetting.py
+++ b/gateway/policy/subsetting.py
@@ -1,12 +1,9 @@
-"""The endpoint list, and the subset of its backends that one gateway uses (deterministic subsetting).
+"""The endpoint list, and the subset of its backends that one gateway uses.
 
-After "Load Balancing in the Datacenter" in Site Reliability Engineering: the gateways of a round divide one
-permutation of the ready backends among them, each round another one. All backends are covered evenly, and
-one that comes or goes shifts the subsets by at most one position.
-
-A change costs by its own size and the logarithm of the list's length: the ring stays sorted, and the subset
-is a window on it, corrected at its edges. More than `MAX_CHANGES_AT_ONCE` changes are made in steps; until
-the last one the window only loses backends, draining or removed: a half-built ring chooses none.
+Deterministic subsetting, after "Load Balancing in the Datacenter" in Site Reliability Engineering: each round
+of gateways divides a permutation of the ready backends, which covers them evenly, and the subset is a window
+on it. More than `MAX_CHANGES_AT_ONCE` changes are made in steps; until the last one the window only loses
+backends, draining or removed: a half-built ring chooses none.
 """
 
 from __future__ import annotations
@@ -14,12 +11,11 @@
 import math
 import random
 from collections.abc import Callable
-from dataclasses import dataclass, field
-from typing import Generic, NamedTuple, TypeVar
+from typing import Generic, TypeVar
 
-from .endpoint_records import CELL_BYTES, READY_BYTE, SERIAL_BYTES, Record, RecordCodec
+from .endpoint_records import CELL_BYTES, READY_BYTE, SERIAL_BYTES, PendingSnapshot, Record, RecordCodec
 from .events import Endpoint, EndpointState, EndpointUpdate, UpdateKind
-from .ring import Ring
+from .ring import Rebuild, Ring, Window
 
 SUBSET_SIZE = 8  # backends that a gateway uses at least, if so many are ready
 MIN_GATEWAYS_PER_BACKEND = 8  # that use it, so that its load does not come from a few gateways
@@ -30,14 +26,6 @@
 BackendT = TypeVar("BackendT")
 
 
-class Window(NamedTuple):
-    """A gateway's part of a ring: the round, and the positions from `start` to before `end`."""
-
-    round_number: int | None
-    start: int
-    end: int
-
-
 def assign_window(gateway_index: int, gateway_count: int, ready_count: int) -> Window:
     """The window of a gateway while `ready_count` backends are ready; a single window has no round."""
     size = max(SUBSET_SIZE, MIN_GATEWAYS_PER_BACKEND * ready_count / gateway_count)
@@ -49,23 +37,6 @@
     return Window(round_number if window_count > 1 else None, start, end)
 
 
-@dataclass(slots=True)
-class PendingSnapshot:
-    """The parts of a snapshot that have come; it is in force with the last one."""
-
-    records: dict[int, Record] = field(default_factory=dict)
-    new_backend_ids: list[int] = field(default_factory=list)  # those not listed before
-
-
-@dataclass(slots=True)
-class Rebuild:
-    """A ring in the making; changes that come meanwhile are made in it, not in the ring in force."""
-
-    ring: Ring
-    backend_ids: list[int]  # all that were listed at its start
-    done_count: int = 0
-
-
 class EndpointSubset(Generic[BackendT]):
     """Keeps the endpoint list, and the subset of it that a gateway uses."""
 
@@ -88,14 +59,6 @@
         self._pending: PendingSnapshot | None = None
         self._rebuild: Rebuild | None = None
 
-    def __len__(self) -> int:
-        """The number of listed backends."""
-        return len(self.records)
-
-    def __contains__(self, backend_id: int) -> bool:
-        """Whether a backend is listed, ready or draining."""
-        return backend_id in self.records
-
     @property
     def is_rebuilding(self) -> bool:
         """Whether `continue_rebuild` has work left."""
@@ -129,9 +92,7 @@
         if rebuild is None:
             return
         for backend_id in rebuild.backend_ids[rebuild.done_count : rebuild.done_count + limit]:
-            record = self.records.get(backend_id)
-            if record is not None and record[READY_BYTE]:
-                rebuild.ring.add(backend_id, record)
+            self._add_if_ready(backend_id)
         rebuild.done_count += limit
         if rebuild.done_count < len(rebuild.backend_ids):
             return
@@ -161,8 +122,7 @@
         else:
             start = rng.randrange(max(1, len(self.ring) - MAX_SAMPLE_SIZE))
             found = self.ring.backends_between(start, start + MAX_SAMPLE_SIZE)
-        unpack = self._codec.unpack
-        return [unpack(b, records[b]) for b in found if b in records and records[b][READY_BYTE]]
+        return [self._codec.unpack(b, records[b]) for b in found if b in records and records[b][READY_BYTE]]
 
     def _create(self, backend_id: int) -> BackendT:
         return self._create_backend(self._codec.unpack(backend_id, self.records[backend_id]))
@@ -194,8 +154,7 @@
         if previous is not None and (not record[READY_BYTE] or record[CELL_BYTES] != previous[CELL_BYTES]):
             self._remove_from_ring(backend_id, previous)
         self.records[backend_id] = record
-        if record[READY_BYTE]:
-            self._add_to_ring(backend_id, record)
+        self._add_if_ready(backend_id)
 
     def _replace_list(self, snapshot: PendingSnapshot) -> None:
         """Put a snapshot in force: by its differences if they are few, else with a new ring."""
@@ -210,21 +169,20 @@
         for backend_id in previous.keys() - current.keys() if removed_count else ():
             self._remove_from_ring(backend_id, previous[backend_id])
         for backend_id in snapshot.new_backend_ids:
-            record = current.get(backend_id)
-            if record is not None and record[READY_BYTE]:
-                self._add_to_ring(backend_id, record)
+            self._add_if_ready(backend_id)
 
-    def _add_to_ring(self, backend_id: int, record: Record) -> None:
+    def _add_if_ready(self, backend_id: int) -> None:
+        record = self.records.get(backend_id)
+        if record is None or not record[READY_BYTE]:
+            return
         if self._rebuild is not None:
             self._rebuild.ring.add(backend_id, record)
-            return
-        if not self.ring.add(backend_id, record):
-            return
-        offset = self.ring.position(backend_id) - self._window_start
-        if 0 < offset < len(self.backend_ids):
-            self._insert_into_window(offset, backend_id)
-        elif offset <= 0:
-            self._window_start += 1
+        elif self.ring.add(backend_id, record):
+            offset = self.ring.position(backend_id) - self._window_start
+            if 0 < offset < len(self.backend_ids):
+                self._insert_into_window(offset, backend_id)
+            elif offset <= 0:
+                self._window_start += 1
 
     def _remove_from_ring(self, backend_id: int, record: Record) -> None:
         if self._rebuild is not None:
@@ -262,25 +220,21 @@
         """Move the edges of the window to where they are to be with the backends that are ready now."""
         if self._rebuild is not None:
             return
-        ready_count = len(self.ring.sort_keys)
-        round_number, start, end = assign_window(self._gateway_index, self._gateway_count, ready_count)
+        round_number, start, end = assign_window(self._gateway_index, self._gateway_count, len(self.ring))
         if round_number != self.ring.round_number:
             self._start_rebuild()
             return
-        if start >= self._window_start + len(self.backend_ids) or end <= self._window_start:
+        if end <= self._window_start:
             self._window_start = start
-            self.backend_ids = []
-            self.backends = []
-        while self._window_start < start:
-            self._drop_from_window(0)
-            self._window_start += 1
-        while self._window_start > start:
-            self._window_start -= 1
-            (backend_id,) = self.ring.backends_between(self._window_start, self._window_start + 1)
+            self.backend_ids.clear()
+            self.backends.clear()
+        dropped_count = max(0, start - self._window_start)
+        del self.backend_ids[:dropped_count]
+        del self.backends[:dropped_count]
+        for backend_id in reversed(self.ring.backends_between(start, self._window_start)):
             self._insert_into_window(0, backend_id)
-        while self._window_start + len(self.backend_ids) > end:
-            self._drop_from_window(-1)
-        if self._window_start + len(self.backend_ids) < end:
-            missing = self.ring.backends_between(self._window_start + len(self.backend_ids), end)
-            for backend_id in missing:
-                self._insert_into_window(len(self.backend_ids), backend_id)
+        self._window_start = start
+        del self.backend_ids[end - start :]
+        del self.backends[end - start :]
+        for backend_id in self.ring.backends_between(start + len(self.backend_ids), end):
+            self._insert_into_window(len(self.backend_ids), backend_id)
--- a/gateway/policy/usage_reporting.py
+++ b/gateway/policy/usage_reporting.py
@@ -3,16 +3,15 @@
 A counter that fails calls or answers too late is spared by leaving out those calls that tell the least.
 """
 
-import hashlib
 import math
 import random
 from collections import deque
 
 from .actions import Actions, IncrementCounter, SetTimer
 from .counter_calls import CounterCall, CounterReply
-from .events import CounterResponse, Outcome
+from .events import NOT_PROCESSED, CounterResponse, Outcome
 from .leases import REFRESH_INTERVAL_MS, TOTAL_TOLERANCE, Lease
-from .requests import NOT_PROCESSED, PendingRequest
+from .requests import PendingRequest
 from .settings import Settings
 from .shared_bucket import MEMORY_MS, SharedTokenBucket
 from .timers import TimerKind, TimerToken
@@ -49,7 +48,7 @@
         lease.unreported_usage = 0.0
         if self.rng.random() > self.capacity:
             return  # crowded: those that do call add for this one too, so that totals stay true
-        lease.mark_refreshed(now)
+        lease.fresh_until = now + REFRESH_INTERVAL_MS
         self._call(lease, CounterCall(lease.key, int(now // lease.period_ms), round(units, DECIMALS)), out)
 
     def read_bucket(self, now: float, request: PendingRequest, out: Actions) -> bool:
@@ -118,8 +117,7 @@
         if bucket is None:
             return
         lease.has_report_timer = False
-        plan = lease.plan
-        if plan.over_quota_cost > plan.over_quota_revenue or self._has_capacity(COSTS_NOTHING):
+        if lease.plan.over_quota_cost > lease.plan.over_quota_revenue or self._has_capacity(COSTS_NOTHING):
             self.report(now, lease, bucket, out)
 
     def take_call(self, event: CounterResponse) -> CounterCall | None:
@@ -196,8 +194,7 @@
         now, call, event, lease, _ = reply
         period = call.period
         total = event.total
-        is_first = bool(call.amount) and total <= call.amount + TOTAL_TOLERANCE
-        if is_first and self.rng.random() <= self.capacity:
+        if call.amount and total <= call.amount + TOTAL_TOLERANCE and self.rng.random() <= self.capacity:
             self._call(lease, CounterCall(lease.key, period - 1, 0.0), out)
             return
         if not call.amount:
@@ -221,12 +218,7 @@
         return self.rng.random() <= math.pow(self.capacity, eagerness) * self.timely_capacity
 
     def _call(self, lease: Lease, call: CounterCall, out: Actions) -> None:
-        if lease.shared_bucket:
-            name = lease.shared_bucket.name(call.period)
-            memory_ms = MEMORY_MS
-        else:
-            digest = hashlib.blake2b(lease.key.encode(), digest_size=16).hexdigest()  # keys may be long
-            name = f"{call.period}:{digest}"
-            memory_ms = 4 * lease.period_ms
+        name = f"{call.period}:{lease.counter_key}"
+        memory_ms = MEMORY_MS if lease.shared_bucket else 4 * lease.period_ms
         self.calls.setdefault(name, deque()).append(call)
         out.append(IncrementCounter(name, call.amount, memory_ms))
--- a/tests/policy/test_fleet.py
+++ b/tests/policy/test_fleet.py
@@ -9,7 +9,7 @@
 import pytest
 
 from gateway.policy.settings import Plan
-from gateway.policy.shared_bucket import MEMORY_MS, PERIOD_MS, SharedTokenBucket
+from gateway.policy.shared_bucket import MEMORY_MS, PERIOD_MS, SharedTokenBucket, counter_key
 from tests.support.fleet import (
     Caller,
     Conditions,
@@ -235,5 +235,5 @@
     fleet.play(0.1)
     bucket = SharedTokenBucket.of("calm", LARGE.rate, LARGE.burst)
     period = bucket.period(fleet.now)
-    level = bucket.level(fleet.now, period, fleet.counter_totals[bucket.name(period)])
+    level = bucket.level(fleet.now, period, fleet.counter_totals[f"{period}:{counter_key(caller.name)}"])
     assert level == pytest.approx(fleet.quotas["calm"].refill(fleet.now), abs=1.0)
