--- a/gateway/policy/backend_table.py
+++ b/gateway/policy/backend_table.py
@@ -38,8 +38,7 @@
 
     def sample_outside(self, rng: random.Random, cell: tuple[str, int] | None) -> list[Backend]:
         """Ready backends for a request that none of the subset may serve; of one cell if it is given."""
-        entries = self.endpoints.sample_outside(rng, cell)
-        return [self.known.get(e.backend_id) or Backend(e) for e in entries]
+        return [self.known.get(e.backend_id) or Backend(e) for e in self.endpoints.sample_outside(rng, cell)]
 
     def _use(self, entry: Endpoint) -> Backend:
         backend = self.known.get(entry.backend_id)
--- a/gateway/policy/policy.py
+++ b/gateway/policy/policy.py
@@ -123,8 +123,7 @@
     def _on_timer(self, now: float, event: events.TimerFired, out: Actions) -> None:
         kind, subject = event.token
         if kind is TimerKind.REQUEST:
-            request = self.requests.get(subject)
-            if request is not None and now >= request.check_at - TIMER_TOLERANCE_MS:
+            if (request := self.requests.get(subject)) and now >= request.check_at - TIMER_TOLERANCE_MS:
                 self._check_request(now, request, out)
         elif kind is TimerKind.USAGE_REPORT:
             if lease := self.leases.by_customer.get(subject):
--- a/gateway/policy/retries.py
+++ b/gateway/policy/retries.py
@@ -39,14 +39,12 @@
         backend.in_flight += 1
         request.lease.in_flight += 1
         number = request.attempt_count
-        start_before = request.retry_window_end()
-        attempt = Attempt(request, backend, now)
-        self.attempts[request.id, number] = attempt
+        out.append(StartAttempt(request.id, backend.id, start_before=request.retry_window_end()))
+        attempt = self.attempts[request.id, number] = Attempt(request, backend, now)
         request.live_attempts.add(number)
         request.possibly_run.append(attempt)
         request.tried_backend_ids.add(backend.id)
         request.attempt_count = number + 1
-        out.append(StartAttempt(request.id, backend.id, start_before=start_before))
         request.schedule_check(now, now + self.outliers.attempt_timeout(now, attempt), out)
 
     def end(self, now: float, event: AttemptEnded) -> Attempt | None:
--- a/gateway/policy/usage_reporting.py
+++ b/gateway/policy/usage_reporting.py
@@ -54,9 +54,8 @@
     def read_bucket(self, now: float, request: PendingRequest, out: Actions) -> bool:
         """Read the shared bucket for a request that needs it and waits for the response (true).
 
-        Spread over so many gateways, a local bucket would be empty, or full of tokens that each of the others
-        holds too. The call spends the tokens at once, and a rejection gives them back: two gateways that call
-        together don't both get the last token. Where a rejection is likely, the call only reads.
+        The call spends the tokens at once, and a rejection gives them back: two gateways that call together
+        don't both get the last token. Where a rejection is likely, the call only reads.
 
         Danger: a crowded counter has no capacity for all, and a customer far past its quota asks most. Where
         being wrong costs nothing the lease decides unread; what is likely rejected is rejected unread, and
