--- a/gateway/policy/backend_table.py
+++ b/gateway/policy/backend_table.py
@@ -30,12 +30,7 @@
             elif backend := self.known.get(entry.backend_id):
                 backend.update(entry)
         if update.kind is not UpdateKind.DELTA and update.is_last:
-            self.known = {i: b for i, b in self.known.items() if i in self.endpoints}
-
-    @property
-    def is_rebuilding(self) -> bool:
-        """Whether a long list is being ordered, in steps."""
-        return self.endpoints.is_rebuilding
+            self.known = {i: b for i, b in self.known.items() if i in self.endpoints.records}
 
     def remember(self, backend: Backend) -> None:
         """Keep the scores of a backend that is used, also of one outside the subset."""
@@ -43,8 +38,7 @@
 
     def sample_outside(self, rng: random.Random, cell: tuple[str, int] | None) -> list[Backend]:
         """Ready backends for a request that none of the subset may serve; of one cell if it is given."""
-        entries = self.endpoints.sample_outside(rng, cell)
-        return [self.known.get(e.backend_id) or Backend(e) for e in entries]
+        return [self.known.get(e.backend_id) or Backend(e) for e in self.endpoints.sample_outside(rng, cell)]
 
     def _use(self, entry: Endpoint) -> Backend:
         backend = self.known.get(entry.backend_id)
