--- a/gateway/policy/load_balancing.py
+++ b/gateway/policy/load_balancing.py
@@ -25,7 +25,7 @@
     outliers: OutlierDetector
 
     def pick(self, now: float, request: PendingRequest) -> Backend | None:
-        """Choose a backend by chance, cheap ones far more often; one that is warming up by its own lot."""
+        """Choose a backend by chance, cheap ones far more often; one that is warming up by its own chance."""
         candidates = self.backends.endpoints.backends
         if len(candidates) > MAX_SCORED:
             candidates = self.rng.sample(candidates, SAMPLE_SIZE)
@@ -41,9 +41,9 @@
         return warm[costs.index(min(costs))] if warm else None
 
     def _draw_warming(self, now: float, request: PendingRequest, allowed: list[Backend]) -> Backend | None:
-        """A backend that is warming up, if the lot falls on it.
+        """A backend that is warming up, if chance selects it.
 
-        Danger: sent more than it can do by all gateways together, a cold backend falls over. Each gateway
+        Danger: sent more than it can do by all gateways together, a warming backend falls over. Each gateway
         gives it an even part of its own requests times less than the least it can do, so that the sum over
         all gateways stays under that part of a warm one's load; twice, as one long request is much of it.
         Retries come of many gateways at once, where many backends are slow: those go to warm ones.
--- a/gateway/policy/usage_reporting.py
+++ b/gateway/policy/usage_reporting.py
@@ -101,7 +101,7 @@
     def report(self, now: float, lease: Lease, bucket: SharedTokenBucket, out: Actions) -> None:
         """Add what was spent without being reported, or take off what was reported and not spent.
 
-        A crowded counter is told by some for the others too: that leaves capacity for those that ask.
+        To a crowded counter some report for the others too: that leaves capacity for those that ask.
         """
         units = lease.unreported_usage
         lease.unreported_usage = 0.0
@@ -178,12 +178,12 @@
             self._call(lease, call, out)
             return False
         if lease.accept_total(now, period, total, max(bucket.burst, request.cost)):
-            told = bucket.level(now, period, total - request.reported_cost)
-            level = max(0.0, min(told, bucket.burst))
-            is_wrong = abs(told - level) > MAX_DEVIATION * bucket.burst
+            unbounded_level = bucket.level(now, period, total - request.reported_cost)
+            level = max(0.0, min(unbounded_level, bucket.burst))
+            is_wrong = abs(unbounded_level - level) > MAX_DEVIATION * bucket.burst
             if is_wrong and self.rng.random() <= self.capacity:
-                surplus = round(told - level, DECIMALS)
-                corrected_total = total + told - level
+                surplus = round(unbounded_level - level, DECIMALS)
+                corrected_total = total + unbounded_level - level
                 self._call(lease, CounterCall(lease.key, period, surplus, "", False, corrected_total), out)
             lease.set_level(now, bucket, level, request.cost)
         return True
