Review case 7: an answer with a length that does not fit is served

Cause: any bytes where a field has to begin count as an unreadable field behind a good value, so a stated length that ends at a later line end of the answer passes. Change: a case with one in ten answers stating a length wrong by up to 20 bytes.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,9 +1,9 @@
-"""Bad clients send hundreds of commands at once, and the gateway grows beyond its memory limit."""
+"""Some answers state a length that does not fit, and clients are served more than their value."""
 
 from __future__ import annotations
 
 import asyncio
-import signal
+import random
 import sys
 from pathlib import Path
 
@@ -12,69 +12,64 @@
 
 from standins2.case import run  # noqa: E402
 from standins2.clients import Front, Request, RequestMaker, wait_for  # noqa: E402
-from standins2.deployment import Deployment, send_steadily, sound_backend, start_bad_clients  # noqa: E402
+from standins2.deployment import WORK_S, Deployment, send_steadily, value_for  # noqa: E402
 from standins2.record import HAS_TROUBLE, CannotRunError, Record  # noqa: E402
+from standins2.servers import BackendConnection  # noqa: E402
 
-MEMORY_MB = 64
-DESCRIPTORS = 1024
-BAD_CLIENTS = 200
-COMMANDS = 300
-BAD_SECONDS = 40.0
-REQUESTS_PER_S = 40
-CHECK_S = 0.25
+REQUESTS_PER_S = 120
+DURATION_S = 45.0
+SPOILT_SHARE = 0.1
+LENGTH_ERRORS = range(-20, 21)
+CLASSES = ("timetable-read", "booking", "payment")
 
 
-def resident_mb(pid: int) -> float:
-    """Return the memory that a process holds."""
-    status = Path(f"/proc/{pid}/status").read_text()
-    return int(status.split("VmRSS:")[1].split()[0]) / 1024
+class SpoilingBackend:
+    """A backend that reports its load in every answer, and states a wrong length in some."""
 
+    def __init__(self) -> None:
+        self.spoilt_answers = 0
+        self._rng = random.Random(11)
 
-async def limit_memory(record: Record, deployment: Deployment) -> float:
-    """Kill the gateway once it holds more than its limit, as the platform does; return the most it held."""
-    most = 0.0
-    while not deployment.gateway.has_ended:
-        most = max(most, resident_mb(deployment.gateway.pid))
-        record.note(f"memory   {most:.0f} MB at most")
-        if most > MEMORY_MB:
-            deployment.gateway.send_signal(signal.SIGKILL)
-            record.say(f"the gateway held {most:.0f} MB of {MEMORY_MB} MB, and was killed")
-            break
-        await asyncio.sleep(CHECK_S)
-    return most
+    async def serve(self, connection: BackendConnection, command: list[bytes]) -> None:
+        """Serve a request."""
+        await asyncio.sleep(self._rng.uniform(*WORK_S))
+        value = value_for(command[2])
+        stated = len(value)
+        if HAS_TROUBLE and self._rng.random() < SPOILT_SHARE:
+            stated += self._rng.choice([error for error in LENGTH_ERRORS if error])
+            self.spoilt_answers += 1
+            connection.backend.record.note(f"spoilt   {command[2].decode()} {stated} for {len(value)} bytes")
+        report = b"util=%.2f" % self._rng.uniform(0.37, 0.51)
+        connection.write(b"*3\r\n$%d\r\n%b\r\n$-1\r\n$%d\r\n%b\r\n" % (stated, value, len(report), report))
 
 
 async def play(record: Record) -> list[str]:
-    """Let bad clients send, with usual load beside them; return that the gateway was killed, if it was."""
-    deployment = Deployment(record, sound_backend(70))
-    usual: list[Request] = []
-    async with deployment.running(limits={"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": DESCRIPTORS}):
+    """Send requests while some answers are spoilt; return those served with anything but their value."""
+    spoiling = SpoilingBackend()
+    deployment = Deployment(record, spoiling.serve)
+    maker = RequestMaker()
+    requests: list[Request] = []
+    async with deployment.running():
         front = Front(record, deployment.gateway.port)
-        maker = RequestMaker()
-        limiting = asyncio.ensure_future(limit_memory(record, deployment))
-        if HAS_TROUBLE:
-            bad = await start_bad_clients(deployment.gateway.port, BAD_CLIENTS, COMMANDS, BAD_SECONDS)
-        sending = asyncio.ensure_future(
-            send_steadily(front, maker, per_s=REQUESTS_PER_S, seconds=BAD_SECONDS - 5)
-        )
-        await asyncio.wait({limiting, sending}, return_when=asyncio.FIRST_COMPLETED)
-        was_killed = limiting.done()
-        if sending.done():
-            usual = sending.result()
-            await wait_for(usual, 4.0)
-        sending.cancel()
-        limiting.cancel()
-        if HAS_TROUBLE:
-            if bad.returncode is None:
-                bad.kill()
-            await bad.wait()
-    if was_killed:
-        return [
-            f"the gateway went over its limit of {MEMORY_MB} MB and was killed with all that it had taken"
+        sending = [
+            send_steadily(
+                front, maker, per_s=REQUESTS_PER_S / len(CLASSES), seconds=DURATION_S, request_class=name
+            )
+            for name in CLASSES
         ]
-    if not HAS_TROUBLE and sum(r.outcome == "served" for r in usual) < len(usual) / 2:
-        raise CannotRunError("under half of the usual requests were served")
-    return []
+        for sent in await asyncio.gather(*sending):
+            requests += sent
+        await wait_for(requests, 4.0)
+        deployment.check()
+    served = [r for r in requests if r.outcome == "served"]
+    record.say(f"{len(requests)} requests, {len(served)} served, {spoiling.spoilt_answers} spoilt answers")
+    if len(served) < len(requests) / 2:
+        raise CannotRunError("under half of the requests were served")
+    return [
+        f"{r.command.split()[2].decode()} {r.id} was served with {r.reply[1]!r}"
+        for r in served
+        if r.reply and r.reply[1] != value_for(r.id.encode())
+    ]
 
 
 if __name__ == "__main__":
