Review case 6: the answer with a wrong length takes the place of a known fault

Cause: review/1 shows the late second answer already, so its second case is dropped. Change: the case of lengths that do not fit becomes 6, and the stand-ins lose the delay on the wire.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""A second answer comes some milliseconds after the first, and becomes the answer to another request."""
+"""Some answers state a length that does not fit, and clients are served more than their value."""
 
 from __future__ import annotations
 
@@ -12,47 +12,41 @@
 
 from standins2.case import run  # noqa: E402
 from standins2.clients import Front, Request, RequestMaker, wait_for  # noqa: E402
-from standins2.deployment import Deployment, send_steadily, sound_backend, value_for  # noqa: E402
+from standins2.deployment import WORK_S, Deployment, send_steadily, value_for  # noqa: E402
 from standins2.record import HAS_TROUBLE, CannotRunError, Record  # noqa: E402
-from standins2.servers import BackendConnection, encode_answer  # noqa: E402
+from standins2.servers import BackendConnection  # noqa: E402
 
 REQUESTS_PER_S = 120
 DURATION_S = 45.0
-SPOILT_SHARE = 0.05
-LATE_BY_S = 0.008
-WIRE_DELAY_S = 0.001
+SPOILT_SHARE = 0.1
+LENGTH_ERRORS = range(-20, 21)
 CLASSES = ("timetable-read", "booking", "payment")
 
 
 class SpoilingBackend:
-    """A sound backend that sends some of its answers a second time, when nothing else waits there."""
+    """A backend that reports its load in every answer, and states a wrong length in some."""
 
     def __init__(self) -> None:
-        self.second_answers = 0
+        self.spoilt_answers = 0
         self._rng = random.Random(6)
-        self._serve = sound_backend(60)
-        self._tasks: set[asyncio.Task[None]] = set()
 
     async def serve(self, connection: BackendConnection, command: list[bytes]) -> None:
         """Serve a request."""
-        await self._serve(connection, command)
+        await asyncio.sleep(self._rng.uniform(*WORK_S))
+        value = value_for(command[2])
+        stated = len(value)
         if HAS_TROUBLE and self._rng.random() < SPOILT_SHARE:
-            task = asyncio.ensure_future(self._send_again(connection, command))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
-
-    async def _send_again(self, connection: BackendConnection, command: list[bytes]) -> None:
-        await asyncio.sleep(LATE_BY_S)
-        if not connection.writer.is_closing() and not connection.waiting:
-            connection.write(encode_answer(value_for(command[2])))
-            connection.backend.record.note(f"again    {command[2].decode()}")
-            self.second_answers += 1
+            stated += self._rng.choice([error for error in LENGTH_ERRORS if error])
+            self.spoilt_answers += 1
+            connection.backend.record.note(f"spoilt   {command[2].decode()} {stated} for {len(value)} bytes")
+        report = b"util=%.2f" % self._rng.uniform(0.37, 0.51)
+        connection.write(b"*3\r\n$%d\r\n%b\r\n$-1\r\n$%d\r\n%b\r\n" % (stated, value, len(report), report))
 
 
 async def play(record: Record) -> list[str]:
-    """Send requests while some answers come twice; return those served with another request's value."""
+    """Send requests while some answers are spoilt; return those served with anything but their value."""
     spoiling = SpoilingBackend()
-    deployment = Deployment(record, spoiling.serve, wire_delay_s=WIRE_DELAY_S)
+    deployment = Deployment(record, spoiling.serve)
     maker = RequestMaker()
     requests: list[Request] = []
     async with deployment.running():
@@ -68,11 +62,11 @@
         await wait_for(requests, 4.0)
         deployment.check()
     served = [r for r in requests if r.outcome == "served"]
-    record.say(f"{len(requests)} requests, {len(served)} served, {spoiling.second_answers} second answers")
+    record.say(f"{len(requests)} requests, {len(served)} served, {spoiling.spoilt_answers} spoilt answers")
     if len(served) < len(requests) / 2:
         raise CannotRunError("under half of the requests were served")
     return [
-        f"{r.command.split()[2].decode()} {r.id} was served with {r.reply[1].decode()!r}"
+        f"{r.command.split()[2].decode()} {r.id} was served with {r.reply[1]!r}"
         for r in served
         if r.reply and r.reply[1] != value_for(r.id.encode())
     ]
--- a/review/standins2/deployment.py
+++ b/review/standins2/deployment.py
@@ -44,11 +44,9 @@
 class Deployment:
     """The servers of a small deployment, and its gateway."""
 
-    def __init__(
-        self, record: Record, serve: Serve, discovery: Discovery | None = None, wire_delay_s: float = 0.0
-    ) -> None:
+    def __init__(self, record: Record, serve: Serve, discovery: Discovery | None = None) -> None:
         self.record = record
-        self.backends = [Backend(f"s-{number}", record, serve, wire_delay_s) for number in range(BACKENDS)]
+        self.backends = [Backend(f"s-{number}", record, serve) for number in range(BACKENDS)]
         self.discovery = discovery or Discovery(record)
         self.counter = Counter()
         self._gateway: Gateway | None = None
--- a/review/standins2/servers.py
+++ b/review/standins2/servers.py
@@ -7,7 +7,6 @@
 import json
 import time
 from collections.abc import Awaitable, Callable
-from functools import partial
 from typing import Any
 
 from .record import Record
@@ -39,12 +38,6 @@
 
     def write(self, data: bytes) -> None:
         """Send bytes, if the connection is still open."""
-        if self.backend.wire_delay_s:
-            asyncio.get_running_loop().call_later(self.backend.wire_delay_s, self._write_now, data)
-        else:
-            self._write_now(data)
-
-    def _write_now(self, data: bytes) -> None:
         if not self.writer.is_closing():
             self.writer.write(data)
 
@@ -53,14 +46,10 @@
 
 
 class Backend:
-    """A backend, which hands each request to `serve` and records it.
-
-    `wire_delay_s` is how long bytes are on the way between gateway and backend, in each direction.
-    """
+    """A backend, which hands each request to `serve` and records it."""
 
-    def __init__(self, name: str, record: Record, serve: Serve, wire_delay_s: float = 0.0) -> None:
+    def __init__(self, name: str, record: Record, serve: Serve) -> None:
         self.name = name
-        self.wire_delay_s = wire_delay_s
         self.record = record
         self.serve = serve
         self.ran: list[tuple[float, list[bytes]]] = []
@@ -82,25 +71,12 @@
         worker = asyncio.ensure_future(self._answer_in_order(connection, answers))
         with contextlib.suppress(ConnectionError):
             while data := await reader.read(65536):
-                receive = partial(self._on_bytes, connection, commands, data, answers)
-                if self.wire_delay_s:
-                    asyncio.get_running_loop().call_later(self.wire_delay_s, receive)
-                else:
-                    receive()
+                for command in commands.feed(data):
+                    self._on_command(connection, command, answers)
         worker.cancel()
         self.connections.discard(connection)
         writer.close()
 
-    def _on_bytes(
-        self,
-        connection: BackendConnection,
-        commands: CommandReader,
-        data: bytes,
-        answers: asyncio.Queue[list[bytes]],
-    ) -> None:
-        for command in commands.feed(data):
-            self._on_command(connection, command, answers)
-
     def _on_command(
         self, connection: BackendConnection, command: list[bytes], answers: asyncio.Queue[list[bytes]]
     ) -> None:
